Let a class that gives way not keep lesser classes giving way

What stood above the lowered bar of a lesser class counted as full, so each of its refusals began the 6 s of giving way anew. Now only what is above the ordinary limits is full.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,16 +44,18 @@
 // pick lets the schedule choose among the endpoints that are not full, else among those where the request
 // can still hope for an answer in time, the first of them in late seconds. Lesser classes give way only while
 // all are full. Danger: their bar may lie under an idle slow machine: quiet days would lose their even turns.
+// What is above their bar alone is not full: a class that gives way would itself keep it tight.
 func (b *Balancer) pick(q *request, now Time) (to *endpoint, late float64) {
 	bar, late := refuseAt*b.aim, b.aim
+	own := bar // for this request
 	if now < b.tight {
-		bar = b.tightBar(q.Class)
+		own = b.tightBar(q.Class)
 	}
 	if q.over {
-		bar *= overBar
+		own *= overBar
 	}
 	for pass := range 2 {
-		full := false // for this request, where it may go
+		full, free := false, false // for this request, where it may go
 		for _, e := range b.active {
 			limit := bar
 			if pass == 0 { // full above the zones' bar, but not just because its kind is slow
@@ -61,17 +63,18 @@
 			}
 			in := now >= e.until || pass > 0 && b.panicking
 			e.open = e.State == Ready && in && b.mayGo(q, e, now) && b.coldRoom(e)
-			if excess := b.expect(e, now) - limit; e.open {
-				late = min(late, excess)
-				e.open = excess <= 0 && e.owed(now) <= bar*float64(e.inFlight)
-				full = full || !e.open
+			if expect, held := b.expect(e, now), float64(e.inFlight); e.open {
+				late = min(late, expect-min(limit, own))
+				fits := expect <= limit && e.owed(now) <= bar*held
+				e.open = fits && expect <= own && e.owed(now) <= own*held
+				full, free = full || !fits, free || fits
 			}
 		}
 		if to = b.turn(); to != nil {
 			return to, 0
 		}
-		if full { // Danger: a payment's retry, which may go nowhere, tells nothing of the load
-			b.tight, bar = now+memory, min(bar, b.tightBar(q.Class))
+		if full && !free { // Danger: a payment's retry, which may go nowhere, tells nothing of the load
+			b.tight, own = now+memory, min(own, b.tightBar(q.Class))
 		}
 	}
 	return nil, late
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// TestClassThatGivesWayDoesNotKeepItTight has a lesser class refused by its own lowered bar while the dearer one finds
+// room: that is no news of the load, and the time in which lesser classes give way must come to its end.
+func TestClassThatGivesWayDoesNotKeepItTight(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Classes[1].Worth = 3
+	b, h := start(t, set, pair())
+	serve(b, h, 40, time.Duration(float64(set.Classes[0].Aim)*refuseAt*0.8))
+	b.work[1] = b.work[0]
+	h.now += time.Millisecond
+	end := h.now + memory/2
+	b.tight = end
+	if to := ask(b, h, 1); to != "" || len(h.refused) != 1 {
+		t.Fatalf("the lesser class goes to %q, refused %v: it does not give way", to, h.refused)
+	}
+	if b.tight != end {
+		t.Errorf("its refusal has lesser classes give way for %v more", b.tight-end)
+	}
+}
+
 func TestRestartIsANewStart(t *testing.T) {
 	b, h := start(t, settings(), pair())
 	serve(b, h, 40, 20*time.Millisecond)
