Judge what is full by the usual answer time at a node's own distance

Answers of another zone take the way there and back, so idle nodes there passed for full beside a fleet mean made by the own zone, and lesser classes gave way.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,8 +58,8 @@
 		full, free := false, false // for this request, where it may go
 		for _, e := range b.active {
 			limit := bar
-			if pass == 0 { // full above the zones' bar, but not just because its kind is slow
-				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*b.fleet.usual()/e.Size))
+			if pass == 0 { // full above the zones' bar, but not just because its kind is slow or its zone far
+				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*b.usual(e)/e.Size))
 			}
 			in := now >= e.until || pass > 0 && b.panicking
 			e.open = e.State == Ready && in && b.mayGo(q, e, now) && b.coldRoom(e)
--- a/balance/health.go
+++ b/balance/health.go
@@ -34,6 +34,13 @@
 // usual is the time to get through a request held for each unit of size: answer times over held.
 func (g *group) usual() float64 { return g.took / math.Max(g.held, 1e-9) }
 
+// usual is that time at e's distance. Danger: each answer of another zone takes the way there and back, and
+// an idle endpoint there would pass for a full one. Where little is known of it, the fleet's time counts.
+func (b *Balancer) usual(e *endpoint) float64 {
+	g := b.apart[e.abroad]
+	return (g.took + prior*b.fleet.usual()) / (g.held + prior)
+}
+
 // tightBar is the expected answer time in seconds above which a class is refused while it is tight. Worth for
 // each second that answers take counts: a class that has a quarter of the dearest's waits half as long.
 func (b *Balancer) tightBar(class int) float64 {
@@ -79,7 +86,7 @@
 		e.told = now
 		e.took += r.Took.Seconds()
 		e.held += a.held
-		for _, g := range [...]*group{e.home, b.fleet} {
+		for _, g := range [...]*group{e.home, b.fleet, &b.apart[e.abroad]} {
 			g.took += r.Took.Seconds()
 			g.held += a.held / e.Size
 		}
@@ -125,6 +132,9 @@
 	for _, g := range b.groups {
 		g.took, g.held, g.owed = g.took*keep, g.held*keep, 0
 	}
+	for i := range b.apart {
+		b.apart[i].took, b.apart[i].held = b.apart[i].took*keep, b.apart[i].held*keep
+	}
 	for _, e := range b.active {
 		e.took, e.held, e.ended, e.failed = e.took*keep, e.held*keep, e.ended*keep, e.failed*keep
 		e.warm = b.warmth(e, now)
--- a/balance/route_test.go
+++ b/balance/route_test.go
@@ -254,3 +254,30 @@
 		t.Errorf("other zones weigh %.3f with cheap crossings and %.3f with dear ones", cheap, dear)
 	}
 }
+
+// TestFarIsNotFull has the own zone busy and an idle endpoint in a zone far away, whose answers take the way there and
+// back: it gets the next request, and nothing is tight.
+func TestFarIsNotFull(t *testing.T) {
+	far := Endpoint{ID: "far", Zone: "y", Kind: "big", Size: 1}
+	b, h := start(t, settings(), append(pair(), far))
+	aim := b.set.Classes[0].Aim
+	away := pair()
+	away[0].State, away[1].State = Draining, Draining
+	b.Endpoints(h.now, ListChanges, away)
+	serve(b, h, 20, aim*6/10)
+	b.Endpoints(h.now, ListChanges, pair())
+	b.known["far"].until = h.now + time.Hour // the own zone answers in a tenth of that time
+	serve(b, h, 200, aim*6/100)
+	b.known["far"].until, b.near[1] = 0, leastNear
+	for i := range RequestID(100) {
+		switch to := ask(b, h, i+1); {
+		case to == "":
+			t.Fatalf("request %d is refused, and the idle far endpoint has had none", i)
+		case h.now < b.tight:
+			t.Fatalf("request %d finds all full, and the idle far endpoint has had none", i)
+		case to == "far":
+			return
+		}
+	}
+	t.Fatal("the far endpoint gets nothing")
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	active     []*endpoint          // members of the subsets
 	groups     []*group             // of the best rule, and a last one of all endpoints
 	fleet      *group               // the last of them
+	apart      [2]group             // what answers took in the own zone and in the others
 	requests   map[RequestID]*request
 	tenants    []tenant
 	work       []float64  // mean time of the answers in seconds, by class
