--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,25 +55,27 @@
 		own *= overBar
 	}
 	for pass := range 2 {
-		full, free := false, false // for this request, where it may go
+		full, free := false, false // whether or not this request may go there
 		for _, e := range b.active {
 			limit := bar
 			if pass == 0 { // full above the zones' bar, but not just because its kind is slow or its zone far
 				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*b.usual(e)/e.Size))
 			}
 			in := now >= e.until || pass > 0 && b.panicking
-			e.open = e.State == Ready && in && b.mayGo(q, e, now) && b.coldRoom(e)
+			e.open = e.State == Ready && in && b.coldRoom(e)
 			if expect, held := b.expect(e, now), float64(e.inFlight); e.open {
-				late = min(late, expect-min(limit, own))
 				fits := expect <= limit && e.owed(now) <= bar*held
-				e.open = fits && expect <= own && e.owed(now) <= own*held
 				full, free = full || !fits, free || fits
+				if e.open = now >= e.shut[q.Class] && b.mayGo(q, e, now); e.open {
+					late = min(late, expect-min(limit, own))
+					e.open = fits && expect <= own && e.owed(now) <= own*held
+				}
 			}
 		}
 		if to = b.turn(); to != nil {
 			return to, 0
 		}
-		if full && !free { // Danger: a payment's retry, which may go nowhere, tells nothing of the load
+		if full && !free { // a payment's retry, which may go nowhere, tells nothing of the load
 			b.tight, own = now+memory, min(own, b.tightBar(q.Class))
 		}
 	}
@@ -159,7 +161,12 @@
 	a.mayRun = r.Outcome != Saturated && r.Outcome != ConnectFailed && r.Outcome != NotSent
 	a.drop()
 	q.out--
-	if r.Outcome == Served {
+	switch r.Outcome {
+	case Saturated:
+		// Danger: some endpoints serve one class and turn another away. That makes them neither slow nor full
+		// for what they serve, so they are shut to that class alone.
+		a.to.shut[q.Class] = now + shutFor
+	case Served:
 		off := max(r.Took.Seconds(), 1e-6) - b.work[q.Class]
 		b.work[q.Class] += workStep * off
 		b.spread[q.Class] += workStep * (math.Abs(off) - b.spread[q.Class])
@@ -238,7 +245,7 @@
 			continue
 		}
 		if e == nil {
-			e = &endpoint{told: now}
+			e = &endpoint{told: now, shut: make([]Time, len(b.set.Classes))}
 			b.known[entry.ID] = e
 		}
 		if e.joins == nil || e.Zone != entry.Zone || e.Kind != entry.Kind {
@@ -252,6 +259,7 @@
 			// A restart under the same id is a new process: what was seen of the old one does not count. Its
 			// first turn is drawn: sidecars that are told at once must not send at once.
 			e.took, e.held, e.faults, e.until, e.told = 0, 0, 0, 0, now
+			clear(e.shut)
 			e.last = b.sends - b.rng.Float64()*float64(len(b.active))
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
--- a/balance/health.go
+++ b/balance/health.go
@@ -20,6 +20,7 @@
 	recallMost  = 0.15                   // share of attempts that are called off for it at most
 	faultKeep   = 0.85                   // what a success leaves of the faults
 	ejectFor    = 5 * time.Second        // an ejection lasts; the next fault after it is another
+	shutFor     = time.Second            // an endpoint that turned a class away is not asked again
 	ejectMost   = 0.5                    // of the ready size: with more ejected, the fault is likely our own
 	spillAt     = 0.5                    // of the shortest aim: above it an endpoint is full
 	crossAt     = 8.0                    // of the crossing charge, in aims: an answer sooner by that is worth it
@@ -93,8 +94,6 @@
 	}
 	e.ended, b.ended = e.ended+1, b.ended+1
 	switch {
-	case r.Outcome == Saturated: // its queue is full: as bad as an answer at the aim
-		e.took, e.told = e.took+b.aim, now
 	case r.Outcome == Served:
 		e.faults, e.heard = e.faults*faultKeep, now
 	case swallowed:
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -350,3 +350,43 @@
 		}
 	}
 }
+
+// TestTurnedAwayClassLeavesTheOthers has one endpoint turn one class away and serve the other: the first class goes
+// elsewhere, and the endpoint keeps its even share of the other class and passes for as quick as it is.
+func TestTurnedAwayClassLeavesTheOthers(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	b, h := start(t, set, pair())
+	serve(b, h, 40, 20*time.Millisecond)
+	before := b.expect(b.known["a"], h.now)
+	var away, other, tries int
+	for i := range RequestID(400) {
+		h.now += 5 * time.Millisecond
+		first := len(h.sent)
+		b.Request(h.now, Request{ID: i, Class: int(i / 2 % 2), Tenant: -1, Within: time.Second})
+		for n := first; n < len(h.sent); n++ {
+			outcome := Served
+			if h.sent[n].to == "a" && i/2%2 == 0 {
+				outcome = Saturated
+				away++
+			} else if h.sent[n].to == "a" {
+				other++
+			}
+			tries++
+			b.Result(h.now, Result{ID: i, Attempt: n - first, Endpoint: h.sent[n].to, Outcome: outcome,
+				Took: 20 * time.Millisecond, Finished: outcome == Served})
+		}
+	}
+	if len(h.refused)+len(h.failed) > 0 || tries-away != 400 {
+		t.Errorf("%d served, %d refused, %d failed of 400", tries-away, len(h.refused), len(h.failed))
+	}
+	if away == 0 || away > 3 {
+		t.Errorf("the class was turned away %d times in 2 s", away)
+	}
+	if other < 90 {
+		t.Errorf("the endpoint had %d of 200 requests of the class that it serves", other)
+	}
+	if after := b.expect(b.known["a"], h.now); after > before*1.1 {
+		t.Errorf("it is expected to answer in %.4f s, %.4f before", after, before)
+	}
+}
