--- a/balance/balance.go
+++ b/balance/balance.go
@@ -76,7 +76,9 @@
 			return to, 0
 		}
 		if full && !free { // a payment's retry, which may go nowhere, tells nothing of the load
-			b.tight, own = now+memory, min(own, b.tightBar(q.Class))
+			// Danger: what is full now is worked off within an aim, and longer refusals would find idle endpoints.
+			b.tight = now + time.Duration(b.aim*float64(time.Second))
+			own = min(own, b.tightBar(q.Class))
 		}
 	}
 	return nil, late
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -197,6 +197,35 @@
 	}
 }
 
+// TestGivingWayEndsWithTheCrowd has a lesser class find all full for a moment: once that is worked off, it is served
+// again, though its answers take longer than its lowered bar.
+func TestGivingWayEndsWithTheCrowd(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Classes[1].Worth = 3
+	aim := set.Classes[0].Aim
+	b, h := start(t, set, pair())
+	serve(b, h, 40, time.Duration(float64(aim)*refuseAt*0.8))
+	b.work[1] = b.work[0]
+	for i := RequestID(1); h.now >= b.tight; i++ {
+		if i > 100 {
+			t.Fatal("nothing is ever full")
+		}
+		ask(b, h, i)
+	}
+	for _, s := range h.sent {
+		b.Result(h.now+aim/2, Result{ID: s.id, Endpoint: s.to, Took: aim / 2, Finished: true})
+	}
+	h.now += aim / 2
+	if to := ask(b, h, 200); to != "" {
+		t.Errorf("the lesser class goes to %q half an aim after all was full: it does not give way", to)
+	}
+	h.now += aim
+	if to := ask(b, h, 201); to == "" {
+		t.Error("the lesser class still gives way an aim after the crowd, with nothing in flight")
+	}
+}
+
 func TestRestartIsANewStart(t *testing.T) {
 	b, h := start(t, settings(), pair())
 	serve(b, h, 40, 20*time.Millisecond)
