--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -133,11 +133,14 @@
 	}
 	a, ok := s.host.serve(r.Context(), c)
 	s.ids.end(c.id)
-	if ok {
-		// Danger: a client that reads no answers would hold its handler for good.
-		_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
-		a.write(w)
+	if !ok {
+		// Danger: net/http ends a handler that wrote nothing with an empty 200, which a client that has closed
+		// only its sending reads as served.
+		panic(http.ErrAbortHandler)
 	}
+	// Danger: a client that reads no answers would hold its handler for good.
+	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
+	a.write(w)
 	return nil
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -122,6 +122,27 @@
 	}
 }
 
+// TestNoAnswerToOneWhoLeft has a client close its sending while its request is out: it has left, and must not be told
+// that it was served.
+func TestNoAnswerToOneWhoLeft(t *testing.T) {
+	gate := make(chan bool)
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-gate
+		return say(200, "", "ok")(c, r, body)
+	})
+	defer close(gate)
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	c := p.dial()
+	fmt.Fprintf(c, "%s\r\n", head("GET", "leaves", "read"))
+	within(t, b.came, "attempt")
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+		t.Errorf("answer %q, error %v to a client that left", got, err)
+	}
+}
+
 // TestWatch follows the list through a drain, a bad line and a break.
 func TestWatch(t *testing.T) {
 	kept, drained := startBackend(t, say(200, "", "kept")), startBackend(t, say(200, "", "drained"))
