--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,6 +85,9 @@
 }
 
 func (b *Balancer) send(q *request, to *endpoint, now Time) {
+	if to.shut[q.Class] > 0 { // this one tries it again, alone
+		to.shut[q.Class] = now + ejectFor
+	}
 	to.inFlight++
 	to.sent += now
 	q.out++
@@ -165,10 +168,17 @@
 	q.out--
 	switch r.Outcome {
 	case Saturated:
-		// Danger: some endpoints serve one class and turn another away. That makes them neither slow nor full
-		// for what they serve, so they are shut to that class alone.
+		// Danger: some endpoints serve one class and turn another away, or swallow it. That makes them neither
+		// slow nor full for what they serve, so they are shut to that class alone.
 		a.to.shut[q.Class] = now + shutFor
+	case TimedOut: // one stray loss tells nothing, nor a client with little time left
+		if a.to.heard >= a.sent && r.Took >= q.class.Aim {
+			if a.to.lost[q.Class]++; a.to.lost[q.Class] >= lostMost {
+				a.to.shut[q.Class] = now + ejectFor
+			}
+		}
 	case Served:
+		a.to.shut[q.Class], a.to.lost[q.Class] = 0, 0
 		off := max(r.Took.Seconds(), 1e-6) - b.work[q.Class]
 		b.work[q.Class] += workStep * off
 		b.spread[q.Class] += workStep * (math.Abs(off) - b.spread[q.Class])
@@ -247,7 +257,7 @@
 			continue
 		}
 		if e == nil {
-			e = &endpoint{told: now, shut: make([]Time, len(b.set.Classes))}
+			e = &endpoint{told: now, shut: make([]Time, len(b.set.Classes)), lost: make([]int, len(b.set.Classes))}
 			b.known[entry.ID] = e
 		}
 		if e.joins == nil || e.Zone != entry.Zone || e.Kind != entry.Kind {
@@ -262,6 +272,7 @@
 			// first turn is drawn: sidecars that are told at once must not send at once.
 			e.took, e.held, e.faults, e.until, e.told = 0, 0, 0, 0, now
 			clear(e.shut)
+			clear(e.lost)
 			e.last = b.sends - b.rng.Float64()*float64(len(b.active))
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
--- a/balance/health.go
+++ b/balance/health.go
@@ -21,6 +21,7 @@
 	faultKeep   = 0.85                   // what a success leaves of the faults
 	ejectFor    = 5 * time.Second        // an ejection lasts; the next fault after it is another
 	shutFor     = time.Second            // an endpoint that turned a class away is not asked again
+	lostMost    = 2                      // losses of a class in a row at an endpoint that answers others: shut
 	ejectMost   = 0.5                    // of the ready size: with more ejected, the fault is likely our own
 	spillAt     = 0.5                    // of the shortest aim: above it an endpoint is full
 	crossAt     = 8.0                    // of the crossing charge, in aims: an answer sooner by that is worth it
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -419,3 +419,65 @@
 		t.Errorf("it is expected to answer in %.4f s, %.4f before", after, before)
 	}
 }
+
+// TestSwallowedClassIsShut has one endpoint never answer one class and serve the other: after two losses the class goes
+// elsewhere, one request at a time tries again, and the first answer opens the endpoint to all.
+func TestSwallowedClassIsShut(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	b, h := start(t, set, pair())
+	serve(b, h, 40, 20*time.Millisecond)
+	id := RequestID(0)
+	send := func(class int) string {
+		id++
+		first := len(h.sent)
+		b.Request(h.now, Request{ID: id, Class: class, Tenant: -1, Within: 3 * time.Second})
+		if len(h.sent) == first {
+			return ""
+		}
+		return h.sent[first].to
+	}
+	end := func(id RequestID, to string, outcome Outcome, took time.Duration) {
+		b.Result(h.now, Result{ID: id, Endpoint: to, Outcome: outcome, Took: took, Finished: true})
+	}
+	e := b.known["a"]
+	for range 4 { // requests of the class, half of which go to a
+		if to := send(0); to == "a" {
+			h.now += 3 * time.Second
+			e.heard = h.now // it answered others meanwhile
+			end(id, to, TimedOut, 3*time.Second)
+		} else {
+			end(id, to, Served, 20*time.Millisecond)
+		}
+	}
+	share := func(class int) (n int) {
+		for range 20 {
+			h.now += 20 * time.Millisecond
+			to := send(class)
+			if end(id, to, Served, 20*time.Millisecond); to == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := share(0); n > 0 {
+		t.Errorf("%d of 20 requests of the class go where it was swallowed twice", n)
+	}
+	if n := share(1); n < 9 {
+		t.Errorf("%d of 20 requests of the other class go there", n)
+	}
+	h.now += ejectFor
+	var tries []RequestID
+	for range 6 {
+		if send(0) == "a" {
+			tries = append(tries, id)
+		}
+	}
+	if len(tries) != 1 {
+		t.Fatalf("requests %v try it at once, want one", tries)
+	}
+	end(tries[0], "a", Served, 20*time.Millisecond)
+	if n := share(0); n < 9 {
+		t.Errorf("%d of 20 requests of the class go there after an answer", n)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -98,7 +98,8 @@
 	ended    float64 // fading count of attempts that ended
 	failed   float64 // and of those that ended in an error
 	until    Time    // ejected until
-	shut     []Time  // turns the class away until
+	shut     []Time  // not asked for the class until; 0: nothing is known against it
+	lost     []int   // requests of the class that it swallowed since it last answered one
 	warm     float64 // share of its capacity that it has
 	last     float64 // the balancer's count of sends at the last one to it
 	abroad   int     // 1 in another zone, 0 in the sidecar's own
