--- a/balance/balance.go
+++ b/balance/balance.go
@@ -170,11 +170,11 @@
 	case Saturated:
 		// Danger: some endpoints serve one class and turn another away, or swallow it. That makes them neither
 		// slow nor full for what they serve, so they are shut to that class alone.
-		a.to.shut[q.Class] = now + shutFor
+		b.shut(a.to, q.Class, now+shutFor)
 	case TimedOut: // one stray loss tells nothing, nor a client with little time left
 		if a.to.heard >= a.sent && r.Took >= q.class.Aim {
 			if a.to.lost[q.Class]++; a.to.lost[q.Class] >= lostMost {
-				a.to.shut[q.Class] = now + ejectFor
+				b.shut(a.to, q.Class, now+ejectFor)
 			}
 		}
 	case Served:
--- a/balance/health.go
+++ b/balance/health.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// shut keeps a class from an endpoint until then, but for one request that tries it after that. It is logged
+// once until an answer opens the endpoint.
+func (b *Balancer) shut(e *endpoint, class int, until Time) {
+	if e.shut[class] == 0 {
+		b.act.Log("shut " + e.ID + " to " + b.set.Classes[class].Name)
+	}
+	e.shut[class] = until
+}
+
 // fade lets go of old knowledge, but for what is to be kept, and recounts warmth and the share ejected.
 // Danger: where most endpoints seem bad, the fault is likely our own; then ejection is suspended.
 func (b *Balancer) fade(now Time, keep float64) {
--- a/balance/oncall_test.go
+++ b/balance/oncall_test.go
@@ -13,7 +13,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b, h := start(t, settings(), pair())
+	set := settings()
+	set.Classes[0].Name = "par-update"
+	b, h := start(t, set, pair())
 	for i := range RequestID(8) {
 		outcome := Served
 		to := ask(b, h, i)
@@ -25,6 +27,14 @@
 	if len(h.logs) == 0 {
 		t.Fatal("failing endpoints left no log line")
 	}
+	before := len(h.logs)
+	for i := range RequestID(2) { // the second is not told again
+		b.Result(h.now, Result{ID: 100 + i, Endpoint: ask(b, h, 100+i), Outcome: Saturated, Finished: true})
+		h.now += shutFor
+	}
+	if n := len(h.logs) - before; n != 1 {
+		t.Errorf("%d log lines for an endpoint that turns a class away twice, want 1", n)
+	}
 	for _, line := range h.logs {
 		for _, e := range b.endpoints {
 			line = strings.ReplaceAll(line, " "+e.ID, " 10.0.0.1:8080")
