Add the lab's simulated plane with its scenarios, referee and rivals

Change: internal/lab plays a scenario in simulated time around the decision module, judges it from what clients, nodes and discovery saw, and reports. The pure parts are apart: scenario (strict TOML), plan, load, node, referee, report. cmd/milletramp lab run and list drive it.

--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,121 @@
+// Package lab plays scenarios of the emulated service and judges them: it puts the plan, a plane, the referee and the
+// meter together.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"beechmill.example/beechmill/internal/lab/plan"
+	"beechmill.example/beechmill/internal/lab/record"
+	"beechmill.example/beechmill/internal/lab/referee"
+	"beechmill.example/beechmill/internal/lab/report"
+	"beechmill.example/beechmill/internal/lab/scenario"
+	"beechmill.example/beechmill/internal/lab/sim"
+)
+
+// Simulated plays a scenario in simulated time.
+func Simulated(ctx context.Context, s *scenario.Scenario, seed uint64, opt sim.Options) (*report.Day, error) {
+	began := time.Now()
+	p := plan.New(s, seed)
+	meter, judge := report.NewMeter(p), referee.New(Terms(p, 20*time.Millisecond))
+	sinks := record.Sinks{meter, judge}
+	if opt.Sink != nil {
+		sinks = append(sinks, opt.Sink)
+	}
+	opt.Sink = sinks
+	res, err := sim.Run(ctx, p, opt)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	d := Judge(p, meter, judge)
+	d.Plane, d.Events, d.Took = "simulated", res.Events, time.Since(began).Seconds()
+	return d, nil
+}
+
+// Judge ends a day.
+func Judge(p *plan.Plan, meter *report.Meter, judge *referee.Referee) *report.Day {
+	d := &report.Day{Scenario: p.Scenario.Name, About: p.Scenario.About, Seed: p.Seed, Figures: meter.Figures(),
+		Verdict: judge.Verdict(24 * time.Hour), First: p.First.Seconds(), Last: p.Last.Seconds()}
+	d.Missed = Missed(p.Scenario.Expect, d.Figures)
+	return d
+}
+
+// Missed lists the expectations that a day did not meet.
+func Missed(e scenario.Expect, f report.Figures) (missed []string) {
+	check := func(name string, want, got float64, least bool) {
+		if want != 0 && (least && got < want || !least && got > want) {
+			word := "at most"
+			if least {
+				word = "at least"
+			}
+			missed = append(missed, fmt.Sprintf("%s is %.3f, expected %s %.3f", name, got, word, want))
+		}
+	}
+	check("in_time", e.InTime, f.Worth, true)
+	check("worst_10s", e.Worst10s, f.Worst10s, true)
+	check("failed", e.Failed, f.Failed, false)
+	check("attempts", e.Attempts, f.Attempts, false)
+	check("useful", e.Useful, f.Useful, true)
+	if e.Recover > 0 && f.Recover < 0 {
+		missed = append(missed, "recover: service is not back by the end")
+	} else {
+		check("recover", e.Recover.Std().Seconds(), f.Recover, false)
+	}
+	return missed
+}
+
+// Terms are what the referee goes by for a plan, with a slack for the plane's own lateness.
+func Terms(p *plan.Plan, slack time.Duration) referee.Terms {
+	s := p.Scenario
+	t := referee.Terms{Slack: slack, DrainWithin: time.Second + slack, PromptWithin: 50 * time.Millisecond,
+		FallMultiple: s.Fleet.FallMultiple, Fall: s.Fleet.Fall.Std(), FallSlack: 8 * s.MeanWork(), ColdFrom: s.Fleet.ColdFrom,
+		Cold: s.Fleet.Cold.Std()}
+	for _, c := range s.Classes {
+		r := referee.Repeats{Anywhere: c.Effect == "idempotent", Inside: c.Effect == "deduplicated", Window: c.Window.Std()}
+		switch c.Scope {
+		case "zone":
+			r.Group = func(n int32) int { return p.Machines[n].Zone }
+		case "cell":
+			r.Group = func(n int32) int { return p.Machines[n].Cell }
+		default:
+			r.Group = func(int32) int { return 0 }
+		}
+		r.Refuse = r.Anywhere || r.Inside && c.Scope == "all"
+		t.Classes = append(t.Classes, r)
+	}
+	return t
+}
+
+// Find returns the file of a scenario: a path, or a name under dir.
+func Find(dir, name string) (string, error) {
+	if strings.HasSuffix(name, ".toml") {
+		return name, nil
+	}
+	file := filepath.Join(dir, name+".toml")
+	if _, err := os.Stat(file); errors.Is(err, fs.ErrNotExist) {
+		all, _ := List(dir)
+		for i := range all {
+			all[i] = strings.TrimSuffix(filepath.Base(all[i]), ".toml")
+		}
+		return "", fmt.Errorf("no scenario %q in %s, there are: %s", name, dir, strings.Join(all, ", "))
+	}
+	return file, nil
+}
+
+// List returns the files of all scenarios in a folder, sorted.
+func List(dir string) ([]string, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+	if err != nil {
+		return nil, fmt.Errorf("scenarios in %s: %w", dir, err)
+	}
+	slices.Sort(files)
+	return files, nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,234 @@
+// Package scenario describes a day that the lab plays: a fleet, a load, a time line of troubles and what is expected
+// of the sidecars at the end. A scenario is a TOML file, read strictly: what cannot be meant is an error with its file,
+// line and reason.
+package scenario
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time written with its unit, as "250ms" or "30s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler. A number without a unit is an error.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time with a unit, such as \"250ms\" or \"30s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Std is the duration in the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Scenario is one day of the lab.
+type Scenario struct {
+	Name   string   `toml:"name"`
+	About  string   `toml:"about"`  // one line for lists
+	Length Duration `toml:"length"` // arrivals end then; the day ends when all is answered
+	Warmup Duration `toml:"warmup"` // not counted, from the start
+	Seed   uint64   `toml:"seed"`   // the default one
+
+	Fleet   Fleet     `toml:"fleet"`
+	Load    Load      `toml:"load"`
+	Clients Clients   `toml:"clients"`
+	Network Network   `toml:"network"`
+	Notice  Notice    `toml:"notice"`
+	Classes []Class   `toml:"class"`
+	Tenants []Tenant  `toml:"tenant"`
+	Trouble []Trouble `toml:"trouble"`
+	Expect  Expect    `toml:"expect"`
+}
+
+// Fleet is the nodes and sidecars.
+type Fleet struct {
+	Sidecars int      `toml:"sidecars"`
+	Nodes    int      `toml:"nodes"`
+	Zones    []string `toml:"zones"`
+	PodSize  int      `toml:"pod_size"` // nodes of one pod: they drop each other's repeats
+	Kinds    []Kind   `toml:"kind"`
+
+	SlotsPerCore float64  `toml:"slots_per_core"` // requests in work at once, sharing the cores
+	QueuePerCore float64  `toml:"queue_per_core"` // waiting room; beyond it requests are turned away
+	ColdFrom     float64  `toml:"cold_from"`      // share of its capacity that a started node has
+	Cold         Duration `toml:"cold"`           // and is warm after this time, evenly
+	FallMultiple float64  `toml:"fall_multiple"`  // a cold node sent more than this multiple of what it can do
+	Fall         Duration `toml:"fall"`           // for this time falls over
+
+	ConnCap       int      `toml:"conn_cap"`        // connections that a node holds at most
+	HandshakeRTTs float64  `toml:"handshake_rtts"`  // round trips that a connection takes to come up
+	HandshakeWork Duration `toml:"handshake_work"`  // work of a node for each
+	IdleClose     Duration `toml:"idle_close"`      // a node closes connections that idle this long
+	KeyGain       float64  `toml:"key_gain"`        // share of the work that a key met lately saves
+	KeyFor        Duration `toml:"key_for"`         // lately
+	KeysPerCore   int      `toml:"keys_per_core"`   // keys that a node remembers
+	Speeds        float64  `toml:"speed_cv"`        // spread of the nodes' true speeds about their kind's
+	CrowdAt       float64  `toml:"crowd_at"`        // requests in work for each core above which work is less efficient
+	Crowd         float64  `toml:"crowd"`           // work per request grows by this for each doubling beyond it
+	ChokeAt       float64  `toml:"choke_at"`        // waiting for each core: above it for choke_over the node chokes
+	ChokeOver     Duration `toml:"choke_over"`      //
+	ChokeSlower   float64  `toml:"choke_slower"`    // and is slower by this factor
+	ChokeBelow    float64  `toml:"choke_below"`     // until it holds fewer for each core
+	ChokeRest     Duration `toml:"choke_rest"`      // for this time
+	ChokeMost     Duration `toml:"choke_most"`      // or at the latest after this time
+	StopsWork     bool     `toml:"stops_cancelled"` // work stops when its request is cancelled
+}
+
+// Kind is a kind of node.
+type Kind struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Cores int     `toml:"cores"`
+	Speed float64 `toml:"speed"` // of a core, against a standard one
+}
+
+// Load is what clients ask for.
+type Load struct {
+	Rate  float64  `toml:"rate"`  // requests a second over all sidecars; or
+	Use   float64  `toml:"use"`   // the share of the fleet's capacity that first tries need
+	Swing float64  `toml:"swing"` // the rate waves by this share
+	Wave  Duration `toml:"wave"`  // over this time
+	Skew  float64  `toml:"skew"`  // sidecar i gets a part in proportion to (i+1)^-skew
+	Keys  int      `toml:"keys"`  // distinct keys
+	Zipf  float64  `toml:"zipf"`  // exponent of their popularity
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     string   `toml:"name"`
+	Share    float64  `toml:"share"`
+	Work     Duration `toml:"work"` // mean, on a standard core
+	CV       float64  `toml:"cv"`   // spread of the work; 1: exponential
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Effect   string   `toml:"effect"` // idempotent, deduplicated, at_most_once
+	Scope    string   `toml:"scope"`  // of deduplicated: all, zone, cell
+	Window   Duration `toml:"window"` // of deduplicated
+}
+
+// Tenant is a tenant and its part of the demand.
+type Tenant struct {
+	Name      string  `toml:"name"`
+	Share     float64 `toml:"share"`     // of the requests
+	Allowance float64 `toml:"allowance"` // requests a second over all sidecars
+}
+
+// Clients say how clients behave.
+type Clients struct {
+	Retries   float64  `toml:"retries"`    // further tries of a request; a fraction is a probability
+	Backoff   Duration `toml:"backoff"`    // mean wait before the first
+	Growth    float64  `toml:"growth"`     // of the wait with each
+	Honour    float64  `toml:"honour"`     // share that heeds Retry-After
+	MostAfter Duration `toml:"most_after"` // and how long at most
+	Impatient float64  `toml:"impatient"`  // share that leaves after half of its time
+	TryShare  float64  `toml:"try_share"`  // of the deadline that a try is given
+}
+
+// Network is the way between sidecars and nodes.
+type Network struct {
+	Same    Duration `toml:"same"`  // one way inside a zone
+	Cross   Duration `toml:"cross"` // one way between zones
+	Jitter  float64  `toml:"jitter"`
+	Connect Duration `toml:"connect"` // a connection not up by then has failed
+}
+
+// Notice is how discovery tells of changes.
+type Notice struct {
+	From Duration `toml:"from"` // after a change, drawn for each sidecar
+	To   Duration `toml:"to"`
+}
+
+// Trouble is what goes wrong, from At for For.
+type Trouble struct {
+	Kind  string   `toml:"kind"`
+	At    Duration `toml:"at"`
+	For   Duration `toml:"for"`
+	Part  float64  `toml:"part"`  // share of the nodes, or of the sidecars
+	Size  float64  `toml:"size"`  // factor or share, by the kind
+	Class string   `toml:"class"` // of swallow and turn_away
+	Zone  string   `toml:"zone"`  // of zone_cut, or where the nodes are
+	Drain Duration `toml:"drain"` // between being told to drain and the end of a node
+	Heals bool     `toml:"heals"` // machines that vanish come back
+}
+
+// Expect is what must hold at the end; zero values are not checked.
+type Expect struct {
+	InTime   float64  `toml:"in_time"`   // least share of the worth answered in time
+	Worst10s float64  `toml:"worst_10s"` // least share in the worst 10 s
+	Failed   float64  `toml:"failed"`    // most share of first tries that failed in the end
+	Attempts float64  `toml:"attempts"`  // most attempts for each try
+	Recover  Duration `toml:"recover"`   // most time from the last trouble's end until service is back
+	Useful   float64  `toml:"useful"`    // least share of the work done that served an answer
+}
+
+// Need tells what a trouble of a kind takes.
+type need struct{ part, size, class, zone, lasts, drain bool }
+
+// kinds are the troubles that the lab knows. What is not needed must be absent.
+var kinds = map[string]need{
+	"slow":             {part: true, size: true, lasts: true},
+	"burst":            {size: true, lasts: true},
+	"hot_key":          {size: true, lasts: true},
+	"release":          {part: true, lasts: true, drain: true},
+	"shrink":           {part: true, lasts: true, drain: true},
+	"swallow":          {part: true, class: true, lasts: true},
+	"turn_away":        {part: true, class: true, lasts: true},
+	"stray":            {part: true, size: true, lasts: true},
+	"errors":           {part: true, size: true, lasts: true},
+	"garble":           {part: true, size: true, lasts: true},
+	"vanish":           {part: true, lasts: true},
+	"crash":            {part: true, lasts: true},
+	"zone_cut":         {zone: true, lasts: true},
+	"discovery_silent": {lasts: true},
+	"sidecars_restart": {part: true},
+	"power_cut":        {lasts: true},
+	"flood":            {part: true, size: true, lasts: true},
+}
+
+// Capacity is what the fleet can do when all of it is warm, in seconds of standard work a second.
+func (s *Scenario) Capacity() float64 {
+	sum := 0.0
+	for i := range s.Fleet.Nodes {
+		k := s.KindOf(i)
+		sum += float64(k.Cores) * k.Speed
+	}
+	return sum
+}
+
+// KindOf is the kind of node i: kinds are dealt out evenly by their shares, so that every zone has some of each.
+func (s *Scenario) KindOf(i int) Kind {
+	credit := make([]float64, len(s.Fleet.Kinds))
+	best := 0
+	for range i + 1 {
+		best = 0
+		for k := range credit {
+			credit[k] += s.Fleet.Kinds[k].Share
+			if credit[k] > credit[best]+1e-9 {
+				best = k
+			}
+		}
+		credit[best]--
+	}
+	return s.Fleet.Kinds[best]
+}
+
+// MeanWork is the mean work of a request in seconds on a standard core, without what known keys save.
+func (s *Scenario) MeanWork() float64 {
+	work := 0.0
+	for _, c := range s.Classes {
+		work += c.Share * c.Work.Std().Seconds()
+	}
+	return work
+}
+
+// Rate is the mean rate of first tries a second, over all sidecars.
+func (s *Scenario) Rate() float64 {
+	if s.Load.Use > 0 {
+		return s.Load.Use * s.Capacity() / s.MeanWork()
+	}
+	return s.Load.Rate
+}
