--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,12 +54,13 @@
 	if q.over {
 		own *= overBar
 	}
+	usual := b.usual()
 	for pass := range 2 {
 		full, free := false, false // whether or not this request may go there
 		for _, e := range b.active {
 			limit := bar
 			if pass == 0 { // full above the zones' bar, but not just because its kind is slow or its zone far
-				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*b.usual(e)/e.Size))
+				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*usual[e.abroad]/e.Size))
 			}
 			in := now >= e.until || pass > 0 && b.panicking
 			e.open = e.State == Ready && in && b.coldRoom(e)
