--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -1,10 +1,13 @@
 package scenario
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
 	"os"
+	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -31,26 +34,82 @@
 	return Parse(file, string(text))
 }
 
-// Parse reads and checks a scenario's text; file names it in errors.
+// Parse reads and checks a scenario's text; file names it in errors. What it extends is read from beside the file.
 func Parse(file, text string) (*Scenario, error) {
 	s := defaults()
+	c := &checker{file: file, lines: lineIndex(text)}
+	if base, ok := extends(text); ok {
+		if filepath.Base(base) != base || base == "" {
+			c.fail("extends", "extends is %q, must be the name of a scenario beside this one", base)
+			return nil, c.faults[0]
+		}
+		c.base = filepath.Join(filepath.Dir(file), base+".toml")
+		under, err := os.ReadFile(c.base)
+		if err != nil {
+			c.fail("extends", "extends %q: %v", base, err)
+			return nil, c.faults[0]
+		}
+		if _, ok := extends(string(under)); ok {
+			c.fail("extends", "extends %q, which itself extends another: one step at most", base)
+			return nil, c.faults[0]
+		}
+		c.under = lineIndex(string(under))
+		if err := decode(c.base, string(under), s, &checker{file: c.base, lines: c.under}); err != nil {
+			return nil, err
+		}
+		s.Trouble, s.Expect = nil, Expect{} // these are a day's own
+		if _, ok := c.lines["load.rate"]; ok {
+			s.Load.Use = 0 // one stands for the other
+		}
+		if _, ok := c.lines["load.use"]; ok {
+			s.Load.Rate = 0
+		}
+	}
+	if err := decode(file, text, s, c); err != nil {
+		return nil, err
+	}
+	c.scenario(s)
+	if len(c.faults) > 0 {
+		return nil, errors.Join(c.faults...)
+	}
+	return s, nil
+}
+
+// extends is the scenario that a text extends, as far as the text can be read.
+func extends(text string) (string, bool) {
+	var head struct {
+		Extends *string `toml:"extends"`
+	}
+	if _, err := toml.Decode(text, &head); err != nil || head.Extends == nil {
+		return "", false // what cannot be read is said when the whole is
+	}
+	return *head.Extends, true
+}
+
+// decode reads a text over what s holds. Its tables of an array replace all that s has there.
+func decode(file, text string, s *Scenario, c *checker) error {
+	// Danger: the decoder fills entries of an array over those that are there, and an absent key keeps the old value.
+	for name, list := range map[string]any{"class": &s.Classes, "tenant": &s.Tenants, "trouble": &s.Trouble,
+		"fleet.kind": &s.Fleet.Kinds} {
+		if _, ok := c.lines[name]; ok {
+			reflect.ValueOf(list).Elem().SetZero()
+		}
+	}
 	meta, err := toml.Decode(text, s)
 	if err != nil {
 		var bad toml.ParseError
 		if errors.As(err, &bad) {
-			return nil, Fault{file, bad.Position.Line, bad.Message}
+			return Fault{file, bad.Position.Line, cmp.Or(bad.Message, bad.Error())}
 		}
-		return nil, Fault{file, 0, err.Error()}
+		return Fault{file, 0, err.Error()}
 	}
-	c := &checker{file: file, lines: lineIndex(text)}
 	for _, key := range meta.Undecoded() {
 		c.fail(key.String(), "unknown key %q", key.String())
 	}
-	c.scenario(s)
 	if len(c.faults) > 0 {
-		return nil, errors.Join(c.faults...)
+		return errors.Join(c.faults...)
 	}
-	return s, nil
+	return nil
 }
 
 // defaults are the values of a scenario that says nothing else: a deployment of mixed nodes in three zones.
@@ -73,15 +132,21 @@
 type checker struct {
 	file   string
 	lines  map[string]int
+	base   string // the file that this one extends
+	under  map[string]int
 	faults []error
 }
 
-// fail notes a fault at a key's line, or at its table's where the key is absent.
+// fail notes a fault at a key's line, here or in the file that is extended, or at its table's where the key is absent.
 func (c *checker) fail(key, format string, args ...any) {
-	line := 0
+	fault := Fault{c.file, 0, fmt.Sprintf(format, args...)}
 	for at := key; ; {
 		if n, ok := c.lines[at]; ok {
-			line = n
+			fault.Line = n
+			break
+		}
+		if n, ok := c.under[at]; ok {
+			fault.File, fault.Line = c.base, n
 			break
 		}
 		cut := strings.LastIndexByte(at, '.')
@@ -90,7 +155,7 @@
 		}
 		at = at[:cut]
 	}
-	c.faults = append(c.faults, Fault{c.file, line, fmt.Sprintf(format, args...)})
+	c.faults = append(c.faults, fault)
 }
 
 // number checks that a value lies in a range.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -26,11 +26,12 @@
 
 // Scenario is one day of the lab.
 type Scenario struct {
-	Name   string   `toml:"name"`
-	About  string   `toml:"about"`  // one line for lists
-	Length Duration `toml:"length"` // arrivals end then; the day ends when all is answered
-	Warmup Duration `toml:"warmup"` // not counted, from the start
-	Seed   uint64   `toml:"seed"`   // the default one
+	Extends string   `toml:"extends"` // a scenario beside this one, whose values hold where this one says nothing
+	Name    string   `toml:"name"`
+	About   string   `toml:"about"`  // one line for lists
+	Length  Duration `toml:"length"` // arrivals end then; the day ends when all is answered
+	Warmup  Duration `toml:"warmup"` // not counted, from the start
+	Seed    uint64   `toml:"seed"`   // the default one
 
 	Fleet   Fleet     `toml:"fleet"`
 	Load    Load      `toml:"load"`
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -105,6 +105,7 @@
 	state  balance.State // as discovery has it
 	boot   time.Duration
 	listed bool
+	worked float64 // by its former processes
 }
 
 type sidecar struct {
@@ -199,7 +200,7 @@
 		w.handle(&e)
 	}
 	for i, m := range w.nodes {
-		w.emit(record.Event{Kind: record.Worked, Node: int32(i), Work: m.Done()})
+		w.emit(record.Event{Kind: record.Worked, Node: int32(i), Work: m.worked + m.Done()})
 	}
 	return w.res, nil
 }
@@ -250,6 +251,7 @@
 	faults := node.Faults{Swallow: map[int]bool{}, TurnAway: map[int]bool{}}
 	if m.Server != nil {
 		faults = m.Server.Faults
+		m.worked += m.Done()
 	}
 	m.Server = node.NewServer(node.New(spec, w.now), pod, s.KeyGain, s.KeyFor.Std(), s.KeysPerCore*spec.Cores,
 		rand.New(rand.NewPCG(w.p.Seed, uint64(len(w.nodes))<<20+uint64(m.life))))
