Give cold nodes early turns where a request finds no other place

Change: in the second pass, where nothing else has room, a cold endpoint of any zone may have its next turn early, up to twice its share over the whole fleet, which is half of the least multiple that fells it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,7 +63,7 @@
 				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*usual[e.abroad]/e.Size))
 			}
 			in := now >= e.until || pass > 0 && b.panicking
-			e.open = e.State == Ready && in && b.coldRoom(e)
+			e.open = e.State == Ready && in && b.coldRoom(e, pass > 0)
 			if expect, held := b.expect(e, now), float64(e.inFlight); e.open {
 				fits := expect <= limit && e.owed(now) <= bar*held
 				full, free = full || !fits, free || fits
--- a/balance/health.go
+++ b/balance/health.go
@@ -28,6 +28,7 @@
 	refuseAt    = 0.85                   // of the shortest aim: no answer expected later is worth its work
 	workStep    = 0.05                   // weight of an answer in the mean time of its class
 	overBar     = 0.5                    // bar of requests beyond an allowance, as a share of their class's
+	coldEarly   = 2.0                    // shares that a cold endpoint gets at most
 	leastSubset = 4                      // endpoints of a group that a sidecar uses at least: some may fail
 	leastNear   = 0.001                  // weight of other zones at least: enough to know them
 	shiftStep   = 0.03                   // of the way to go, what a tick moves the weight of other zones
@@ -138,7 +139,7 @@
 // Danger: where most endpoints seem bad, the fault is likely our own; then ejection is suspended.
 func (b *Balancer) fade(now Time, keep float64) {
 	var out, all float64
-	b.arrived, b.room, b.ended, b.failed = b.arrived*keep, 0, b.ended*keep, b.failed*keep
+	b.arrived, b.room, b.whole, b.ended, b.failed = b.arrived*keep, 0, 0, b.ended*keep, b.failed*keep
 	b.swallowed, b.recalled = b.swallowed*keep, b.recalled*keep
 	for _, g := range b.groups {
 		g.took, g.held, g.owed = g.took*keep, g.held*keep, 0
@@ -151,6 +152,7 @@
 		e.warm = b.warmth(e, now)
 		e.home.owed += e.owed(now)
 		b.room += e.Size * e.warm * b.near[e.abroad]
+		b.whole += e.Size * e.warm
 		if all += e.Size; now < e.until {
 			out += e.Size
 		}
@@ -169,7 +171,11 @@
 
 // coldRoom tells whether an endpoint is warm, or has its next turn for the share of its capacity that it has.
 // Danger: sidecars that all turn to a cold endpoint, as it alone seems free, push it over. When each keeps to
-// its turns, it gets no more for its warmth than the fleet's mean, whatever the number of sidecars.
-func (b *Balancer) coldRoom(e *endpoint) bool {
-	return e.warm >= 1 || (b.sends-e.last)*e.Size*e.warm*b.near[e.abroad] >= b.room
+// its turns, it gets no more for its warmth than the fleet's mean, whatever the number of sidecars. A request
+// that finds no other place may have an early turn, in any zone. Danger: where the whole fleet is cold, turns
+// kept to the letter leave most requests none, and other zones have next to none as long as the own one is
+// thought to do. Early turns are counted over the fleet: all sidecars together give some times its share.
+func (b *Balancer) coldRoom(e *endpoint, early bool) bool {
+	turn := (b.sends - e.last) * e.Size * e.warm
+	return e.warm >= 1 || turn*b.near[e.abroad] >= b.room || early && coldEarly*turn >= b.whole
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -30,6 +30,7 @@
 	tries      uint64     // the most attempts of a request
 	near       [2]float64 // weight of the own zone, which is 1, and of the others
 	room       float64    // registered size of the active endpoints for their warmth and zone
+	whole      float64    // and for their warmth alone
 	arrived    float64    // fading count of requests
 	allowed    float64    // sum of the tenants' allowances
 	grouped    Time       // when the subsets were last taken
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -182,3 +182,37 @@
 		}
 	}
 }
+
+// TestAllCold guards the time after a power cut: where every endpoint has just started, requests still go out, and none
+// of the endpoints gets much more than its share. Danger: turns kept to the letter leave nearly every request without one.
+func TestAllCold(t *testing.T) {
+	set := settings()
+	set.Zones = []string{"x", "y", "z"}
+	var list []Endpoint
+	for i := range 12 {
+		list = append(list, Endpoint{ID: string(rune('a' + i)), Zone: set.Zones[i%3], Kind: set.Kinds[i/6], Size: 1,
+			Started: time.Minute})
+	}
+	b, h := start(t, set, list)
+	got := map[string]int{}
+	const requests = 300
+	for i := range RequestID(requests) {
+		h.now += 10 * time.Millisecond
+		if i%10 == 0 {
+			b.Timer(h.now, tokenTick)
+		}
+		b.Request(h.now, Request{ID: i, Tenant: -1, Within: time.Second})
+		for _, s := range h.sent {
+			got[s.to]++
+		}
+		h.answer(b, h.now, Served)
+	}
+	if n := len(h.refused); n > requests/20 {
+		t.Errorf("%d of %d requests are refused while all endpoints are idle and cold", n, requests)
+	}
+	for id, n := range got {
+		if most := coldEarly*requests/12 + 2; float64(n) > most {
+			t.Errorf("cold endpoint %s got %d requests, want %.0f at most", id, n, most)
+		}
+	}
+}
