Draw the first turns of cold nodes over the list that tells of them

Cause: a sidecar whose first list has started nodes only drew their first turns over no active node, so all turns were in the future and, as nothing was sent, stayed there: in the new test 299 of 300 requests are refused until the nodes are warm.

Change: the turns are drawn over the longer of the active nodes and the list.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -274,7 +274,7 @@
 			e.took, e.held, e.faults, e.until, e.told = 0, 0, 0, 0, now
 			clear(e.shut)
 			clear(e.lost)
-			e.last = b.sends - b.rng.Float64()*float64(len(b.active))
+			e.last = b.sends - b.rng.Float64()*float64(max(len(b.active), len(list)))
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -37,8 +37,8 @@
 // usual is the time to get through a request held for each unit of size: answer times over held.
 func (g *group) usual() float64 { return g.took / math.Max(g.held, 1e-9) }
 
-// usual is that time in the own zone and in others. Danger: each answer of another zone takes the way there and
-// back, and an idle endpoint there would pass for a full one. Where little is known, the fleet's time counts.
+// usual is that time in the own zone and in others. Danger: each answer of another zone takes the way there
+// and back, and an idle endpoint there would pass for a full one. Where little is known, the fleet's counts.
 func (b *Balancer) usual() (at [2]float64) {
 	for i := range at {
 		at[i] = (b.apart[i].took + prior*b.fleet.usual()) / (b.apart[i].held + prior)
