Add the lab's socket plane: real sidecars between stand-ins on loopback

Need: simulated time shows the module, not the program; the main job of a newcomer is to see real sidecars work.

--- /dev/null
+++ b/internal/lab/play.go
@@ -0,0 +1,187 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"beechmill.example/beechmill/internal/lab/plan"
+	"beechmill.example/beechmill/internal/lab/record"
+	"beechmill.example/beechmill/internal/lab/referee"
+	"beechmill.example/beechmill/internal/lab/report"
+	"beechmill.example/beechmill/internal/lab/rival"
+	"beechmill.example/beechmill/internal/lab/scenario"
+	"beechmill.example/beechmill/internal/lab/sim"
+	"beechmill.example/beechmill/internal/lab/sockets"
+)
+
+// Player says how scenarios are played.
+type Player struct {
+	Sockets  bool     // on loopback with real sidecars, else in simulated time
+	Sidecar  []string // the command of one, for the socket plane
+	Policy   string   // of the simulated plane: "module" or a rival
+	Log      io.Writer
+	Progress func(at, of time.Duration) // may be nil
+}
+
+// Name words what is played.
+func (p Player) Name() string {
+	if p.Sockets {
+		return p.Sidecar[0]
+	}
+	return p.Policy
+}
+
+// Play plays a scenario; a seed of 0 is the scenario's own.
+func (p Player) Play(ctx context.Context, s *scenario.Scenario, seed uint64) (*report.Day, error) {
+	if seed == 0 {
+		seed = s.Seed
+	}
+	progress := func(at time.Duration) {
+		if p.Progress != nil {
+			p.Progress(at, s.Length.Std())
+		}
+	}
+	if p.Sockets {
+		return p.onSockets(ctx, s, seed, progress)
+	}
+	maker, err := rival.New(p.Policy)
+	if err != nil {
+		return nil, err
+	}
+	opt := sim.Options{Make: maker, Progress: progress}
+	if p.Log != nil {
+		opt.Log = func(at time.Duration, sidecar int, line string) {
+			fmt.Fprintf(p.Log, "%8.3f n%d %s\n", at.Seconds(), sidecar, line)
+		}
+	}
+	d, err := Simulated(ctx, s, seed, opt)
+	if err != nil {
+		return nil, err
+	}
+	d.Policy = p.Policy
+	return d, nil
+}
+
+func (p Player) onSockets(ctx context.Context, s *scenario.Scenario, seed uint64, progress func(time.Duration)) (*report.Day, error) {
+	began := time.Now()
+	drawn := plan.New(s, seed)
+	terms := Terms(drawn, sockets.Slack)
+	// Where connections never come up, the wire shows no attempt while the sidecar waits for one; elsewhere an answer has
+	// to follow what was last out within the way there and the lateness of a machine that does all parts at once.
+	terms.PromptWithin = s.Network.Connect.Std() + 4*s.Network.Cross.Std() + 100*time.Millisecond
+	for _, a := range drawn.Acts {
+		if a.Op == plan.Vanish || a.Op == plan.CutZone {
+			terms.PromptWithin = time.Hour
+		}
+	}
+	meter, judge := report.NewMeter(drawn), referee.New(terms)
+	res, err := sockets.Run(ctx, drawn, sockets.Options{Command: p.Sidecar, Sink: record.Sinks{meter, judge}, Progress: progress,
+		Sidecars: p.Log})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.Name, err)
+	}
+	d := Judge(drawn, meter, judge)
+	d.Plane, d.Policy, d.Took = "socket", p.Name(), time.Since(began).Seconds()
+	d.Late, d.RSS, d.Open = res.Late.Seconds(), res.MostRSS, res.MostOpen
+	return d, nil
+}
+
+// Point is one value of a sweep's knob.
+type Point struct {
+	Value   string              `json:"value"`
+	Figures map[string]Interval `json:"figures"`
+	Healed  int                 `json:"healed"` // seeds whose service came back
+	Broken  int                 `json:"broken"` // seeds that broke a rule
+}
+
+// Measures are the figures that sweeps and comparisons read, by name.
+var Measures = []struct {
+	Name string
+	Of   func(f report.Figures) float64
+}{
+	{"in_time_worth", func(f report.Figures) float64 { return f.Worth }},
+	{"worst_10s_worth", func(f report.Figures) float64 { return f.Worst10s }},
+	{"useful_work", func(f report.Figures) float64 { return f.Useful }},
+	{"attempts_per_try", func(f report.Figures) float64 { return f.Attempts }},
+	{"refused", func(f report.Figures) float64 { return f.Refused }},
+	{"failed", func(f report.Figures) float64 { return f.Failed }},
+}
+
+// Sweep plays a scenario for each value of a knob with some seeds. done is called after each day; it may be nil.
+func (p Player) Sweep(ctx context.Context, s *scenario.Scenario, knob string, values []string, seeds int, done func(n, of int)) ([]Point, error) {
+	var points []Point
+	for i, v := range values {
+		varied, err := s.Set(knob, v)
+		if err != nil {
+			return nil, err
+		}
+		point := Point{Value: v, Figures: map[string]Interval{}}
+		got := make([][]float64, len(Measures))
+		for seed := range seeds {
+			d, err := p.Play(ctx, varied, s.Seed+uint64(seed))
+			if err != nil {
+				return nil, err
+			}
+			for k, m := range Measures {
+				got[k] = append(got[k], m.Of(d.Figures))
+			}
+			if d.Figures.Healed {
+				point.Healed++
+			}
+			if !d.Verdict.Clean() {
+				point.Broken++
+			}
+			if done != nil {
+				done(i*seeds+seed+1, len(values)*seeds)
+			}
+		}
+		for k, m := range Measures {
+			point.Figures[m.Name] = IntervalOf(got[k])
+		}
+		points = append(points, point)
+	}
+	return points, nil
+}
+
+// Difference is what one of two players did better, paired by seed.
+type Difference struct {
+	Measure string   `json:"measure"`
+	A       float64  `json:"a"`
+	B       float64  `json:"b"`
+	Diff    Interval `json:"b_minus_a"`
+	Verdict string   `json:"verdict"` // on b, by in-time worth or its like; for costs more is worse
+}
+
+// Compare plays a scenario with both players on the same seeds.
+func Compare(ctx context.Context, s *scenario.Scenario, a, b Player, seeds int, done func(n, of int)) ([]Difference, error) {
+	got := make([][2][]float64, len(Measures))
+	for seed := range seeds {
+		for side, p := range []Player{a, b} {
+			d, err := p.Play(ctx, s, s.Seed+uint64(seed))
+			if err != nil {
+				return nil, err
+			}
+			for k, m := range Measures {
+				got[k][side] = append(got[k][side], m.Of(d.Figures))
+			}
+			if done != nil {
+				done(2*seed+side+1, 2*seeds)
+			}
+		}
+	}
+	var all []Difference
+	for k, m := range Measures {
+		diffs := make([]float64, seeds)
+		for i := range diffs {
+			diffs[i] = got[k][1][i] - got[k][0][i]
+		}
+		d := Difference{Measure: m.Name, A: IntervalOf(got[k][0]).Mean, B: IntervalOf(got[k][1]).Mean, Diff: IntervalOf(diffs)}
+		if d.Verdict = d.Diff.Verdict(); k >= 3 { // of these less is better
+			d.Verdict = Interval{Low: -d.Diff.High, High: -d.Diff.Low}.Verdict()
+		}
+		all = append(all, d)
+	}
+	return all, nil
+}
--- a/internal/lab/report/day.go
+++ b/internal/lab/report/day.go
@@ -22,7 +22,10 @@
 	Last     float64         `json:"last_trouble_s"`
 	Figures  Figures         `json:"figures"`
 	Verdict  referee.Verdict `json:"verdict"`
-	Missed   []string        `json:"missed"` // expectations
+	Missed   []string        `json:"missed"`                // expectations
+	Late     float64         `json:"late_s,omitempty"`      // of the socket plane: the latest request was sent so much late
+	RSS      int             `json:"sidecar_kb,omitempty"`  // resident memory of the largest sidecar at the end
+	Open     int             `json:"sidecar_fds,omitempty"` // and descriptors of the one with most
 }
 
 // Good tells whether every rule was kept and every expectation met.
@@ -66,6 +69,10 @@
 	if d.Events > 0 {
 		fmt.Fprintf(&b, "%d events in %.1f s (%.2f million/s)\n", d.Events, d.Took, float64(d.Events)/d.Took/1e6)
 	}
+	if d.RSS > 0 {
+		fmt.Fprintf(&b, "sidecars: %.1f MB resident, %d descriptors at most; requests sent %.0f ms late at most\n", float64(d.RSS)/1024, d.Open,
+			d.Late*1e3)
+	}
 	d.verdict(&b)
 	if _, err := io.WriteString(w, b.String()); err != nil {
 		return fmt.Errorf("report: %w", err)
--- /dev/null
+++ b/internal/lab/scenario/set.go
@@ -0,0 +1,89 @@
+package scenario
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Set returns a copy of a scenario with one value changed, named by its path in the file, as "load.use" or
+// "trouble[1].size", and checks the result. A time takes its unit in text, or is in seconds as a number.
+func (s *Scenario) Set(path, value string) (*Scenario, error) {
+	t := *s
+	t.Classes, t.Tenants, t.Trouble = slices.Clone(s.Classes), slices.Clone(s.Tenants), slices.Clone(s.Trouble)
+	t.Fleet.Kinds, t.Fleet.Zones = slices.Clone(s.Fleet.Kinds), slices.Clone(s.Fleet.Zones)
+	v := reflect.ValueOf(&t).Elem()
+	for part := range strings.SplitSeq(path, ".") {
+		name, index, indexed := strings.Cut(part, "[")
+		if v.Kind() != reflect.Struct {
+			return nil, fmt.Errorf("%s: nothing is below %s", path, v.Type())
+		}
+		field := fieldOf(v, name)
+		if !field.IsValid() {
+			return nil, fmt.Errorf("%s: there is no %q", path, name)
+		}
+		v = field
+		if indexed {
+			i, err := strconv.Atoi(strings.TrimSuffix(index, "]"))
+			if err != nil || v.Kind() != reflect.Slice || i < 0 || i >= v.Len() {
+				return nil, fmt.Errorf("%s: %s has no entry [%s", path, name, index)
+			}
+			v = v.Index(i)
+		}
+	}
+	if err := assign(v, value); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	switch path { // one stands for the other
+	case "load.use":
+		t.Load.Rate = 0
+	case "load.rate":
+		t.Load.Use = 0
+	}
+	c := &checker{file: t.Name + " with " + path + "=" + value}
+	if c.scenario(&t); len(c.faults) > 0 {
+		return nil, c.faults[0]
+	}
+	return &t, nil
+}
+
+// fieldOf is the field of a struct that a key of the file names.
+func fieldOf(v reflect.Value, key string) reflect.Value {
+	for i := range v.NumField() {
+		if v.Type().Field(i).Tag.Get("toml") == key {
+			return v.Field(i)
+		}
+	}
+	return reflect.Value{}
+}
+
+func assign(v reflect.Value, text string) error {
+	if v.Type() == reflect.TypeFor[Duration]() {
+		if f, err := strconv.ParseFloat(text, 64); err == nil {
+			v.SetInt(int64(f * float64(time.Second)))
+			return nil
+		}
+		var d Duration
+		if err := d.UnmarshalText([]byte(text)); err != nil {
+			return err
+		}
+		v.SetInt(int64(d))
+		return nil
+	}
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return fmt.Errorf("%q is no number", text)
+	}
+	switch v.Kind() {
+	case reflect.Float64:
+		v.SetFloat(f)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(f))
+	default:
+		return fmt.Errorf("a %s cannot be varied", v.Type())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,252 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"beechmill.example/beechmill/internal/lab/record"
+)
+
+// Entry is one server of discovery's list, as the platform words it.
+type Entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	AZ       string  `json:"az"`
+	Model    string  `json:"model"`
+	PodGroup int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+// States are the platform's words.
+var States = map[record.State]string{record.Serving: "SERVING", record.Draining: "DRAINING", record.Gone: "DELETED"}
+
+// List is what discovery says at once.
+type List struct {
+	Rev     int64   `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []Entry `json:"targets"`
+}
+
+// heartbeat is how often a watch says that nothing has changed.
+const heartbeat = 2 * time.Second
+
+// Discovery is the agent of one sidecar: what it has been sent counts as told.
+type Discovery struct {
+	sidecar int32
+	log     *Log
+	number  func(uid string) int32
+
+	mu       sync.Mutex
+	rev      int64
+	entries  []Entry // present, in order of coming
+	changes  []List  // one a version
+	silent   bool
+	cut      bool // the next line ends midway, with its connection
+	changed  chan struct{}
+	listener net.Listener
+	http     *http.Server
+}
+
+// NewDiscovery returns the agent of a sidecar, with a first list that counts as told. number names nodes in the log.
+func NewDiscovery(sidecar int32, first []Entry, log *Log, number func(uid string) int32) (*Discovery, error) {
+	d := &Discovery{sidecar: sidecar, log: log, number: number, rev: 1, entries: append([]Entry(nil), first...),
+		changed: make(chan struct{})}
+	if err := d.open(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// open listens at a new address.
+func (d *Discovery) open() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	d.listener, d.http = l, &http.Server{Handler: d}
+	web := d.http
+	go func() { _ = web.Serve(l) }() // it ends with Close or Move
+	return nil
+}
+
+// Address is where it listens.
+func (d *Discovery) Address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listener.Addr().String()
+}
+
+// Close ends it and its watches.
+func (d *Discovery) Close() { _ = d.http.Close() }
+
+// Move has it listen at a new address; the old one takes no new connections and closes its open ones after a time.
+func (d *Discovery) Move(after time.Duration) error {
+	d.mu.Lock()
+	old, listener := d.http, d.listener
+	err := d.open()
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	_ = listener.Close()
+	time.AfterFunc(after, func() { _ = old.Close() })
+	return nil
+}
+
+// Tell has it tell of changed entries. While it is silent they are kept.
+func (d *Discovery) Tell(changed ...Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range changed {
+		at := -1
+		for i := range d.entries {
+			if d.entries[i].UID == e.UID {
+				at = i
+			}
+		}
+		switch {
+		case e.State == "DELETED" && at >= 0:
+			d.entries = append(d.entries[:at], d.entries[at+1:]...)
+		case e.State == "DELETED":
+		case at >= 0:
+			d.entries[at] = e
+		default:
+			d.entries = append(d.entries, e)
+		}
+	}
+	d.rev++
+	d.changes = append(d.changes, List{Rev: d.rev, Targets: changed})
+	d.wake()
+}
+
+// Back has it go back to an older version: it counts its versions anew and tells the whole list.
+func (d *Discovery) Back() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rev, d.changes = 1, nil
+	d.changes = append(d.changes, List{Rev: 1, All: true, Targets: append([]Entry(nil), d.entries...)})
+	d.wake()
+}
+
+// Silence has it say nothing, not even that nothing has changed, or speak again.
+func (d *Discovery) Silence(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = on
+	d.wake()
+}
+
+// Cut has the next line end midway, together with its connection.
+func (d *Discovery) Cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = true
+}
+
+func (d *Discovery) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Known is the whole list.
+func (d *Discovery) Known() List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return List{Rev: d.rev, All: true, Targets: append([]Entry(nil), d.entries...)}
+}
+
+// ServeHTTP implements http.Handler.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/servers" {
+		http.NotFound(w, r)
+		return
+	}
+	if r.URL.Query().Get("watch") == "" {
+		l := d.Known()
+		d.told(l.Targets)
+		_ = json.NewEncoder(w).Encode(l)
+		return
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		from = -1
+	}
+	d.watch(w, r, from)
+}
+
+// watch tells of changes until the connection ends.
+func (d *Discovery) watch(w http.ResponseWriter, r *http.Request, from int64) {
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	whole := true // the first line holds the whole list: the version asked for may be of another count
+	var next int  // of changes
+	_ = from
+	for {
+		d.mu.Lock()
+		changed, silent, cut := d.changed, d.silent, d.cut
+		var lines []List
+		switch {
+		case silent:
+		case whole:
+			lines = []List{{Rev: d.rev, All: true, Targets: append([]Entry(nil), d.entries...)}}
+			next, whole = len(d.changes), false
+		case next > len(d.changes): // it went back
+			next = 0
+			fallthrough
+		default:
+			lines = append(lines, d.changes[next:]...)
+			next = len(d.changes)
+		}
+		if len(lines) > 0 && cut {
+			d.cut = false
+		}
+		d.mu.Unlock()
+		for _, l := range lines {
+			text, err := json.Marshal(l)
+			if err != nil {
+				return
+			}
+			if cut {
+				_, _ = w.Write(text[:len(text)/2])
+				panic(http.ErrAbortHandler)
+			}
+			d.told(l.Targets)
+			if _, err := w.Write(append(text, '\n')); err != nil {
+				return
+			}
+		}
+		if len(lines) > 0 && http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-beat.C:
+			if silent {
+				continue
+			}
+			if _, err := w.Write([]byte("\n")); err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// told notes what the sidecar has been told.
+func (d *Discovery) told(list []Entry) {
+	for _, e := range list {
+		for state, word := range States {
+			if word == e.State {
+				d.log.Add(record.Event{Kind: record.Told, Sidecar: d.sidecar, Node: d.number(e.UID), State: state})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,396 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Way is the condition of a link. Shares are of requests, each of which is hit by one trouble at most.
+type Way struct {
+	Delay     time.Duration // one way
+	Jitter    float64       // share of Delay by which it varies
+	Handshake float64       // round trips more for the first bytes of a connection
+	Rate      int           // bytes a second in each direction; 0: unbounded
+	Silent    bool          // nothing passes, new connections do not come up; when it ends, the old ones are reset
+
+	ResetBefore float64 // before a byte of the request has passed
+	ResetWithin float64 // after half of it
+	ResetAfter  float64 // once it has passed whole
+	HalfClose   float64 // the answer's direction ends once the request has passed
+	Garbage     float64 // the answer is replaced by noise
+	Truncate    float64 // half of the answer passes, then the connection ends
+	Trickle     float64 // the answer passes at a few bytes a second
+}
+
+const (
+	trickleRate  = 4        // bytes a second
+	piece        = 16 << 10 // bytes that a link takes up at once
+	normalQueue  = 128      // connections that wait to be accepted
+	silentProbes = 4
+)
+
+// Link is a TCP relay between a sidecar and a node.
+type Link struct {
+	listener *net.TCPListener
+	from     net.IP // it calls the node from there
+	to       string
+	rng      *rand.Rand
+
+	mu     sync.Mutex
+	cond   *sync.Cond // the way changes
+	way    Way
+	ended  bool
+	conns  map[*relayed]bool
+	fill   []net.Conn // they fill the listener's queue while the link is silent
+	owned  sync.WaitGroup
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// relayed is one connection through a link.
+type relayed struct {
+	client, server *net.TCPConn
+	fate           chan Way // what the request in hand meets; the answer's direction reads it
+}
+
+// NewLink returns a link that listens on loopback and leads to a node's address.
+func NewLink(from net.IP, to string, way Way, seed uint64) (*Link, error) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", to, err)
+	}
+	k := &Link{listener: l, from: from, to: to, rng: rand.New(rand.NewPCG(seed, 0x117c)), way: way, conns: map[*relayed]bool{}}
+	k.cond = sync.NewCond(&k.mu)
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.owned.Add(1)
+	go k.accept()
+	return k, nil
+}
+
+// Address is where the link listens.
+func (k *Link) Address() string { return k.listener.Addr().String() }
+
+// Close ends the link and its connections, and waits until all of it has ended.
+func (k *Link) Close() {
+	k.cancel()
+	_ = k.listener.Close()
+	k.mu.Lock()
+	k.ended = true
+	k.cond.Broadcast()
+	for c := range k.conns {
+		c.end(false)
+	}
+	for _, c := range k.fill {
+		_ = c.Close()
+	}
+	k.mu.Unlock()
+	k.owned.Wait()
+}
+
+// Set changes the way.
+func (k *Link) Set(way Way) {
+	k.mu.Lock()
+	was := k.way.Silent
+	k.way = way
+	switch {
+	case way.Silent && !was:
+		k.mu.Unlock()
+		k.silence()
+		return
+	case !way.Silent && was:
+		for c := range k.conns { // what was cut off is reset once it is back
+			c.end(true)
+		}
+		for _, c := range k.fill {
+			_ = c.Close()
+		}
+		k.fill = nil
+		_ = k.queue(normalQueue)
+	}
+	k.cond.Broadcast()
+	k.mu.Unlock()
+}
+
+// queue sets how many connections may wait to be accepted. Linux takes a second listen(2) for that.
+func (k *Link) queue(n int) error {
+	raw, err := k.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var inner error
+	err = raw.Control(func(fd uintptr) { inner = syscall.Listen(int(fd), n) })
+	if err == nil {
+		err = inner
+	}
+	return err
+}
+
+// silence fills the listener's queue, so that further connections never come up, as with a machine that is gone.
+func (k *Link) silence() {
+	if k.queue(0) != nil {
+		return // connections then come up and stay silent
+	}
+	for range silentProbes {
+		c, err := net.DialTimeout("tcp", k.Address(), 20*time.Millisecond)
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		k.fill = append(k.fill, c)
+		k.mu.Unlock()
+	}
+}
+
+// speaking waits until the link is not silent, and returns the way; false once it has ended.
+func (k *Link) speaking() (Way, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for k.way.Silent && !k.ended {
+		k.cond.Wait()
+	}
+	return k.way, !k.ended
+}
+
+func (k *Link) accept() {
+	defer k.owned.Done()
+	for {
+		c, err := k.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		way, ok := k.speaking() // none is accepted while the link is silent
+		if !ok {
+			_ = c.Close()
+			return
+		}
+		k.owned.Add(1)
+		go k.relay(c, way)
+	}
+}
+
+// relay carries one connection.
+func (k *Link) relay(client *net.TCPConn, way Way) {
+	defer k.owned.Done()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: k.from}}
+	inner, err := d.DialContext(k.ctx, "tcp", k.to)
+	if err != nil { // as if the connection had been refused: nothing of the request has passed
+		_ = client.SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	c := &relayed{client: client, server: inner.(*net.TCPConn), fate: make(chan Way, 64)}
+	k.mu.Lock()
+	k.conns[c] = true
+	if k.ended {
+		c.end(false)
+	}
+	k.mu.Unlock()
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() {
+		defer both.Done()
+		k.carry(c, c.client, c.server, true, way.Handshake)
+	}()
+	go func() {
+		defer both.Done()
+		k.carry(c, c.server, c.client, false, 0)
+	}()
+	both.Wait()
+	c.end(false)
+	k.mu.Lock()
+	delete(k.conns, c)
+	k.mu.Unlock()
+}
+
+// end ends both sides.
+func (c *relayed) end(reset bool) {
+	if reset {
+		_ = c.client.SetLinger(0)
+		_ = c.server.SetLinger(0)
+	}
+	_ = c.client.Close()
+	_ = c.server.Close()
+}
+
+// chunk is what passes at once.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+	rate  int
+	then  string // after it: "", "reset", "close", "half"
+}
+
+// carry passes one direction on. Reading goes on while earlier bytes are under way, so a delay does not bound the rate.
+func (k *Link) carry(c *relayed, from, to *net.TCPConn, request bool, handshake float64) {
+	under := make(chan chunk, 256)
+	var writing sync.WaitGroup
+	writing.Add(1)
+	go func() {
+		defer writing.Done()
+		k.write(c, to, under)
+	}()
+	defer writing.Wait()
+	defer close(under)
+	fate := Way{}
+	for {
+		buf := make([]byte, piece)
+		n, err := from.Read(buf)
+		if n > 0 {
+			way, ok := k.speaking()
+			if !ok {
+				return
+			}
+			x := chunk{bytes: buf[:n], rate: way.Rate}
+			if request {
+				fate = k.draw(way)
+				x.hit(fate)
+				select {
+				case c.fate <- fate:
+				default:
+				}
+			} else {
+				select { // the answer to the request drawn for last
+				case fate = <-c.fate:
+				default:
+				}
+				x.mangle(fate, k)
+				fate = Way{}
+			}
+			x.due = time.Now().Add(k.delay(way, handshake))
+			handshake = 0
+			under <- x
+		}
+		if err != nil {
+			under <- chunk{due: time.Now().Add(k.way0().Delay), then: "half"}
+			return
+		}
+	}
+}
+
+func (k *Link) way0() Way {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.way
+}
+
+func (k *Link) delay(way Way, handshake float64) time.Duration {
+	k.mu.Lock()
+	u := k.rng.Float64()
+	k.mu.Unlock()
+	one := float64(way.Delay) * (1 + way.Jitter*(2*u-1))
+	return time.Duration(one * (1 + 2*handshake))
+}
+
+// draw tells which trouble a request meets: a Way with one share at 1, or none.
+func (k *Link) draw(way Way) Way {
+	k.mu.Lock()
+	u := k.rng.Float64()
+	k.mu.Unlock()
+	for _, t := range []struct {
+		share float64
+		is    Way
+	}{{way.ResetBefore, Way{ResetBefore: 1}}, {way.ResetWithin, Way{ResetWithin: 1}}, {way.ResetAfter, Way{ResetAfter: 1}},
+		{way.HalfClose, Way{HalfClose: 1}}, {way.Garbage, Way{Garbage: 1}}, {way.Truncate, Way{Truncate: 1}},
+		{way.Trickle, Way{Trickle: 1}}} {
+		if u < t.share {
+			return t.is
+		}
+		u -= t.share
+	}
+	return Way{}
+}
+
+// hit does to a request what its fate says.
+func (x *chunk) hit(f Way) {
+	switch {
+	case f.ResetBefore > 0:
+		x.bytes, x.then = nil, "reset"
+	case f.ResetWithin > 0:
+		x.bytes, x.then = x.bytes[:len(x.bytes)/2], "reset"
+	case f.ResetAfter > 0:
+		x.then = "reset"
+	case f.HalfClose > 0:
+		x.then = "half"
+	}
+}
+
+// mangle does to an answer what its request's fate says.
+func (x *chunk) mangle(f Way, k *Link) {
+	switch {
+	case f.Garbage > 0:
+		k.mu.Lock()
+		for i := range x.bytes {
+			x.bytes[i] = byte(k.rng.Uint32())
+		}
+		k.mu.Unlock()
+		x.then = "close"
+	case f.Truncate > 0:
+		x.bytes, x.then = x.bytes[:len(x.bytes)/2], "close"
+	case f.Trickle > 0:
+		x.rate = trickleRate
+	}
+}
+
+// write writes what is due.
+func (k *Link) write(c *relayed, to *net.TCPConn, under <-chan chunk) {
+	broken := false
+	for x := range under {
+		if broken {
+			continue
+		}
+		if !k.sleep(time.Until(x.due)) {
+			broken = true
+			continue
+		}
+		if _, ok := k.speaking(); !ok {
+			broken = true
+			continue
+		}
+		for len(x.bytes) > 0 && !broken {
+			n := len(x.bytes)
+			if x.rate > 0 {
+				n = min(n, max(x.rate/20, 1))
+			}
+			if _, err := to.Write(x.bytes[:n]); err != nil {
+				broken = true
+			}
+			x.bytes = x.bytes[n:]
+			if x.rate > 0 && !k.sleep(time.Duration(float64(n)/float64(x.rate)*1e9)) {
+				broken = true
+			}
+		}
+		switch x.then {
+		case "reset":
+			c.end(true)
+		case "close":
+			c.end(false)
+		case "half":
+			if to.CloseWrite() != nil {
+				broken = true
+			}
+		}
+	}
+	if broken {
+		c.end(false)
+	}
+}
+
+// sleep waits; false if the link ends first.
+func (k *Link) sleep(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-k.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,319 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"beechmill.example/beechmill/internal/lab/node"
+	"beechmill.example/beechmill/internal/lab/record"
+)
+
+// Known is what a node looks up about a request: the sidecar need not pass it on.
+type Known struct {
+	Class  int
+	Work   float64 // seconds on a standard core
+	Key    uint64
+	Effect uint64 // 0: repeats are not dropped
+}
+
+// Book is where clients note their requests, for nodes to look up.
+type Book struct {
+	mu       sync.Mutex
+	requests map[uint64]Known
+	tokens   uint64
+	tries    map[uint64]uint8
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{requests: map[uint64]Known{}, tries: map[uint64]uint8{}} }
+
+// Note notes a request.
+func (b *Book) Note(id uint64, k Known) {
+	b.mu.Lock()
+	b.requests[id] = k
+	b.mu.Unlock()
+}
+
+// Look looks a request up.
+func (b *Book) Look(id uint64) (Known, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k, ok := b.requests[id]
+	return k, ok
+}
+
+// Token names an answer.
+func (b *Book) Token() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens++
+	return b.tokens
+}
+
+// Node is one tracking node: an HTTP server around the model of one.
+type Node struct {
+	Number int32
+	book   *Book
+	log    *Log
+	cap    int           // connections
+	hand   float64       // work of a handshake, seconds on a standard core
+	idle   time.Duration // after which connections are closed
+	stops  bool          // work stops when its request is cancelled
+
+	mu     sync.Mutex
+	server *node.Server
+	wake   *time.Timer
+	http   *http.Server
+	conns  map[net.Conn]*conn
+	dead   bool
+	worked float64 // by former processes
+}
+
+type conn struct {
+	fresh bool
+	begun time.Duration // first byte of the request in hand
+}
+
+type connKey struct{}
+
+// NodeOptions are what a node is started with.
+type NodeOptions struct {
+	Number    int32
+	Book      *Book
+	Log       *Log
+	ConnCap   int
+	Handshake time.Duration
+	IdleClose time.Duration
+	Stops     bool
+}
+
+// NewNode returns a node that does not listen yet.
+func NewNode(o NodeOptions) *Node {
+	return &Node{Number: o.Number, book: o.Book, log: o.Log, cap: o.ConnCap, hand: o.Handshake.Seconds(), idle: o.IdleClose,
+		stops: o.Stops, dead: true}
+}
+
+// Start begins a process of the node that serves on l, with a model whose clock is the log's.
+func (n *Node) Start(l net.Listener, s *node.Server) {
+	n.mu.Lock()
+	if n.server != nil {
+		s.Faults = n.server.Faults
+		n.worked += n.server.Done()
+	}
+	n.server, n.dead, n.conns = s, false, map[net.Conn]*conn{}
+	n.http = &http.Server{Handler: n, IdleTimeout: n.idle, ConnState: n.state,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	web := n.http
+	n.mu.Unlock()
+	go func() { _ = web.Serve(l) }() // it ends with Stop
+}
+
+// Stop ends the process: its connections break, new ones are refused, what it held is gone.
+func (n *Node) Stop() {
+	n.mu.Lock()
+	if n.dead {
+		n.mu.Unlock()
+		return
+	}
+	n.dead = true
+	n.server.Drop(n.log.Now())
+	web := n.http
+	for c := range n.conns { // a process that dies resets its connections
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	n.mu.Unlock()
+	_ = web.Close()
+}
+
+// Change changes the node's troubles or speed.
+func (n *Node) Change(change func(s *node.Server, now time.Duration)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n.server, n.log.Now())
+	n.step()
+}
+
+// Worked is the work done by all processes of the node so far.
+func (n *Node) Worked() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.server == nil {
+		return 0
+	}
+	return n.worked + n.server.Done()
+}
+
+func (n *Node) state(c net.Conn, s http.ConnState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		if n.conns[c] = (&conn{fresh: true}); len(n.conns) > n.cap {
+			_ = c.Close()
+		}
+	case http.StateActive:
+		if k := n.conns[c]; k != nil {
+			k.begun = n.log.Now()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(n.conns, c)
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	id, err := strconv.ParseUint(r.Header.Get("X-Request-ID"), 16, 64)
+	known, ok := n.book.Look(id)
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	side := sideOf(r)
+	n.mu.Lock()
+	k := n.conns[c]
+	if k == nil || n.dead {
+		n.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	fresh := k.fresh
+	k.fresh = false
+	begun := k.begun
+	n.mu.Unlock()
+	attempt := n.book.attempt(id)
+	n.log.Add(record.Event{At: begun, Kind: record.Sent, Request: id, Attempt: attempt, Sidecar: side, Node: n.Number})
+	n.log.Add(record.Event{Kind: record.Arrived, Request: id, Attempt: attempt, Sidecar: side, Node: n.Number, Work: known.Work,
+		Effect: id})
+	if err != nil || !ok {
+		http.Error(w, "no client sent this", http.StatusBadRequest)
+		return
+	}
+	n.serve(w, r, id, attempt, known, fresh)
+}
+
+// serve has the model decide on a request and answers it.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, id uint64, attempt uint8, known Known, fresh bool) {
+	job := &node.Job{Work: known.Work}
+	done := make(chan node.Ending, 1)
+	job.Owner = done
+	extra := 0.0
+	if fresh {
+		extra = n.hand
+	}
+	end := func(s record.Status) {
+		n.log.Add(record.Event{Kind: record.Ended, Request: id, Attempt: attempt, Node: n.Number, Status: s})
+	}
+	n.mu.Lock()
+	verdict := n.server.Arrive(n.log.Now(), job, known.Class, known.Key, known.Effect, extra)
+	server := n.server
+	n.step()
+	n.mu.Unlock()
+	switch verdict {
+	case node.TurnedAway:
+		n.log.Add(record.Event{Kind: record.Replied, Request: id, Attempt: attempt, Node: n.Number, Status: record.Refused})
+		end(record.Refused)
+		w.Header().Set("X-Not-Processed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case node.Swallowed:
+		<-r.Context().Done()
+		end(record.Called)
+		panic(http.ErrAbortHandler)
+	case node.Known:
+		n.log.Add(record.Event{Kind: record.Dropped, Request: id, Attempt: attempt, Node: n.Number})
+	default:
+		n.log.Add(record.Event{Kind: record.Ran, Request: id, Attempt: attempt, Node: n.Number})
+	}
+	select {
+	case ending := <-done:
+		s, token := record.Served, n.book.Token()
+		if ending != node.Answered {
+			s = record.Failed
+		}
+		n.log.Add(record.Event{Kind: record.Replied, Request: id, Attempt: attempt, Node: n.Number, Status: s, Token: token,
+			Work: job.Work})
+		n.reply(w, ending, token)
+		end(s)
+	case <-r.Context().Done():
+		n.mu.Lock()
+		if n.stops && n.server == server {
+			server.Cancel(n.log.Now(), job)
+			n.step()
+		}
+		n.mu.Unlock()
+		end(record.Called)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// reply writes the answer.
+func (n *Node) reply(w http.ResponseWriter, ending node.Ending, token uint64) {
+	switch ending {
+	case node.Errored:
+		http.Error(w, "error", http.StatusInternalServerError)
+	case node.Garbled:
+		if h, ok := w.(http.Hijacker); ok {
+			if c, _, err := h.Hijack(); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nspoilt")
+				_ = c.Close()
+			}
+		}
+	default:
+		body := fmt.Sprintf("answer %d", token)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// step has the model do what is due, and asks for its next time. The lock is held.
+func (n *Node) step() {
+	if n.dead {
+		return
+	}
+	for _, j := range n.server.Step(n.log.Now()) {
+		j.Owner.(chan node.Ending) <- n.server.Ending()
+	}
+	next := n.server.Next()
+	if n.wake != nil {
+		n.wake.Stop()
+		n.wake = nil
+	}
+	if next >= 0 {
+		n.wake = time.AfterFunc(max(next-n.log.Now(), 0), func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.step()
+		})
+	}
+}
+
+// attempt numbers a request's attempts as they reach nodes.
+func (b *Book) attempt(id uint64) uint8 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tries[id]++
+	return b.tries[id] - 1
+}
+
+// SideAddress is where the links of a sidecar call from, so that nodes can tell whose they are.
+func SideAddress(sidecar int) net.IP {
+	return net.IPv4(127, 0, byte(1+sidecar/200), byte(1+sidecar%200))
+}
+
+// sideOf tells which sidecar a request came through, or -1.
+func sideOf(r *http.Request) int32 {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	ip := net.ParseIP(host).To4()
+	if ip == nil || ip[2] == 0 {
+		return -1
+	}
+	return int32(ip[2]-1)*200 + int32(ip[3]) - 1
+}
