--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -50,7 +50,7 @@
 	return c
 }
 
-// Aim says where the sidecar listens.
+// Aim says where the sidecar listens; "" says that it is not there.
 func (c *Clients) Aim(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,6 +128,18 @@
 	if a.Leaves > 0 {
 		most = a.Leaves
 	}
+	c.mu.Lock()
+	address := c.address
+	c.mu.Unlock()
+	if address == "" {
+		now := record.Event{Request: id, First: first, Sidecar: c.Sidecar, Class: uint8(a.Class), Tenant: int32(a.Tenant),
+			Wait: a.Wait, Work: a.Work, Effect: id, Status: record.NotReached, At: c.Log.Now()}
+		now.Kind = record.Asked
+		c.Log.Add(now)
+		now.Kind = record.Answered
+		c.Log.Add(now)
+		return load.Unreached, 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	var sent atomic.Int64
@@ -143,7 +155,7 @@
 			asked()
 		}
 	}})
-	r, err := c.build(ctx, a, class, id)
+	r, err := c.build(ctx, a, class, id, address)
 	if err != nil {
 		panic(fmt.Sprintf("standin: a request that cannot be built: %v", err))
 	}
@@ -182,10 +194,7 @@
 	return load.Failed, 0
 }
 
-func (c *Clients) build(ctx context.Context, a load.Ask, class scenario.Class, id uint64) (*http.Request, error) {
-	c.mu.Lock()
-	address := c.address
-	c.mu.Unlock()
+func (c *Clients) build(ctx context.Context, a load.Ask, class scenario.Class, id uint64, address string) (*http.Request, error) {
 	method, body := http.MethodPost, io.Reader(strings.NewReader("bags: 12"))
 	if class.Effect == "idempotent" {
 		method, body = http.MethodGet, nil
