--- a/internal/lab/sim/queue.go
+++ b/internal/lab/sim/queue.go
@@ -32,6 +32,7 @@
 	evAct                  // act a of the plan
 	evUp                   // sidecar a is up again
 	evLate                 // a mutant's late answer to req
+	evNote                 // a mutant's sidecar a is told of node b, and hears later
 )
 
 // queue is a 4-ary heap of events by time, then by the order of asking.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -328,6 +328,8 @@
 		if err := c.start(); err != nil {
 			panic(fmt.Sprintf("sim: sidecar %d does not start again: %v", e.a, err)) // its settings were good before
 		}
+	case evNote:
+		w.emit(record.Event{Kind: record.Told, Sidecar: e.a, Node: e.b, State: record.State(e.status)})
 	case evLate:
 		e.req.side.answer(e.req, record.Status(e.status), 0, 0)
 	}
@@ -752,7 +754,9 @@
 			c.dropIdle(t.node)
 		}
 		list = append(list, t.entry)
-		w.emit(record.Event{Kind: record.Told, Sidecar: c.i, Node: t.node, State: stateOf(t.entry.State)})
+		if w.opt.Host.StaleList == 0 {
+			w.emit(record.Event{Kind: record.Told, Sidecar: c.i, Node: t.node, State: stateOf(t.entry.State)})
+		}
 	}
 	if len(list) > 0 {
 		c.decider.Endpoints(w.now+epoch, balance.ListChanges, list)
@@ -773,6 +777,9 @@
 		c.lastTold = max(c.lastTold, at)
 		c.told = append(c.told, change{c.lastTold, n, w.entry(n)})
 		w.q.push(event{at: c.lastTold + w.opt.Host.StaleList, kind: evTold, a: c.i})
+		if w.opt.Host.StaleList > 0 { // the sidecar is told now, whatever it does with it
+			w.q.push(event{at: c.lastTold, kind: evNote, a: c.i, b: n, status: uint8(stateOf(s))})
+		}
 	}
 }
 
