--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -134,7 +134,8 @@
 func (n *Node) Next() Time {
 	next := Time(-1)
 	if len(n.inWork) > 0 && n.rate > 0 {
-		next = n.at + Time(math.Ceil(math.Max(n.inWork[0].end-n.served, 0)/n.rate*1e9))
+		// Danger: what is left may round to nothing; a time that does not move on would be asked for for ever.
+		next = n.at + max(Time(math.Ceil((n.inWork[0].end-n.served)/n.rate*1e9)), 1)
 	}
 	if n.restless() && (next < 0 || next > n.at+reviewEvery) {
 		next = n.at + reviewEvery
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -8,7 +8,9 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,6 +88,8 @@
 	return *head.Extends, true
 }
 
+var typed = regexp.MustCompile(`^toml: line (\d+) \(last key "([^"]*)"\): (.*)$`)
+
 // decode reads a text over what s holds. Its tables of an array replace all that s has there.
 func decode(file, text string, s *Scenario, c *checker) error {
 	// Danger: the decoder fills entries of an array over those that are there, and an absent key keeps the old value.
@@ -101,6 +105,11 @@
 		if errors.As(err, &bad) {
 			return Fault{file, bad.Position.Line, cmp.Or(bad.Message, bad.Error())}
 		}
+		// A value of the wrong type is told in words alone.
+		if m := typed.FindStringSubmatch(err.Error()); m != nil {
+			line, _ := strconv.Atoi(m[1])
+			return Fault{file, line, m[2] + ": " + m[3]}
+		}
 		return Fault{file, 0, err.Error()}
 	}
 	for _, key := range meta.Undecoded() {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -215,6 +215,7 @@
 			}
 			if cut {
 				_, _ = w.Write(text[:len(text)/2])
+				_ = http.NewResponseController(w).Flush()
 				panic(http.ErrAbortHandler)
 			}
 			d.told(l.Targets)
--- /dev/null
+++ b/internal/standin/link_test.go
@@ -0,0 +1,208 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+const patience = 10 * time.Second
+
+// answering is a server that answers each line with "got " and the line.
+func answering(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-ended
+	})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					line, err := in.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, "got "+line); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ask sends a line through a link and returns what comes back until the line's end or the connection's.
+func ask(t *testing.T, k *Link, within time.Duration) (string, error) {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", k.Address(), within)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := io.WriteString(c, "hello there\n"); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(c).ReadString('\n')
+}
+
+// TestLinkFaults has a link do each of the troubles that it knows.
+func TestLinkFaults(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	to := answering(t)
+	reset := func(_ string, err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+	for _, tt := range []struct {
+		name   string
+		way    Way
+		within time.Duration
+		good   func(text string, err error) bool
+	}{
+		{"nothing wrong", Way{}, patience, func(s string, err error) bool { return s == "got hello there\n" && err == nil }},
+		{"delayed", Way{Delay: 5 * time.Millisecond, Handshake: 1, Jitter: 0.2}, patience, func(s string, err error) bool { return s == "got hello there\n" && err == nil }},
+		{"reset before", Way{ResetBefore: 1}, patience, reset},
+		{"reset within", Way{ResetWithin: 1}, patience, reset},
+		{"reset after", Way{ResetAfter: 1, Delay: time.Millisecond}, patience, reset},
+		{"half closed", Way{HalfClose: 1}, patience, func(s string, err error) bool { return err == nil || errors.Is(err, io.EOF) }},
+		{"garbage", Way{Garbage: 1}, patience, func(s string, err error) bool { return !strings.Contains(s, "got") }},
+		{"truncated", Way{Truncate: 1}, patience, func(s string, err error) bool { return s == "got hell" && errors.Is(err, io.EOF) }},
+		{"trickled", Way{Trickle: 1}, 600 * time.Millisecond, func(s string, err error) bool {
+			return len(s) > 0 && len(s) < 8 && errors.Is(err, os.ErrDeadlineExceeded)
+		}},
+		{"narrow", Way{Rate: 10}, 500 * time.Millisecond, func(s string, err error) bool {
+			return len(s) < 12 && errors.Is(err, os.ErrDeadlineExceeded)
+		}},
+		{"silent", Way{Silent: true}, 200 * time.Millisecond, func(_ string, err error) bool {
+			var late net.Error // the connection never comes up
+			return errors.As(err, &late) && late.Timeout() && strings.Contains(err.Error(), "dial")
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			k, err := NewLink(SideAddress(0), to, Way{}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer k.Close()
+			k.Set(tt.way)
+			if text, err := ask(t, k, tt.within); !tt.good(text, err) {
+				t.Errorf("got %q, %v", text, err)
+			}
+			k.Set(Way{})
+			if text, err := ask(t, k, patience); text != "got hello there\n" || err != nil {
+				t.Errorf("once it is over: %q, %v", text, err)
+			}
+		})
+	}
+}
+
+// TestSilenceResets has connections that were open when a link fell silent say nothing, and be reset once it is back.
+func TestSilenceResets(t *testing.T) {
+	k, err := NewLink(SideAddress(3), answering(t), Way{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	c, err := net.Dial("tcp", k.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "one\n"); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	if line, err := in.ReadString('\n'); line != "got one\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	k.Set(Way{Silent: true})
+	if _, err := io.WriteString(c, "two\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if line, err := in.ReadString('\n'); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("while silent: %q, %v", line, err)
+	}
+	k.Set(Way{})
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	if line, err := in.ReadString('\n'); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("once it is back: %q, %v, want a reset", line, err)
+	}
+}
+
+// TestDiscovery reads a watch through what a discovery can do to it.
+func TestDiscovery(t *testing.T) {
+	first := []Entry{{UID: "a", State: "SERVING"}, {UID: "b", State: "SERVING"}}
+	d, err := NewDiscovery(0, first, NewLog(), func(string) int32 { return 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	watch := func() (*bufio.Reader, io.Closer) {
+		t.Helper()
+		resp, err := http.Get("http://" + d.Address() + "/v1/servers?watch=1&from=1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return bufio.NewReader(resp.Body), resp.Body
+	}
+	next := func(in *bufio.Reader, want string) {
+		t.Helper()
+		for {
+			line, err := in.ReadString('\n')
+			if line == "\n" {
+				continue
+			}
+			if !strings.Contains(line, want) {
+				t.Fatalf("line %q, error %v, want %q in it", line, err, want)
+			}
+			return
+		}
+	}
+	in, body := watch()
+	next(in, `"rev":1,"all":true,"targets":[{"uid":"a"`)
+	d.Tell(Entry{UID: "a", State: "DRAINING"})
+	next(in, `"rev":2,"all":false,"targets":[{"uid":"a","endpoint":"","az":"","model":"","pod_group":0,"state":"DRAINING"`)
+	d.Silence(true)
+	d.Tell(Entry{UID: "a", State: "DELETED"})
+	d.Tell(Entry{UID: "c", State: "SERVING"})
+	d.Silence(false)
+	next(in, `"state":"DELETED"`)
+	next(in, `"uid":"c"`)
+	d.Back()
+	next(in, `"rev":1,"all":true,"targets":[{"uid":"b"`)
+	d.Cut()
+	d.Tell(Entry{UID: "d", State: "SERVING"})
+	if text, err := io.ReadAll(in); err == nil || strings.HasSuffix(string(text), "}\n") || !strings.Contains(string(text), `{"rev":2`) {
+		t.Errorf("cut in the middle: %q, %v", text, err)
+	}
+	_ = body.Close()
+	old := d.Address()
+	if err := d.Move(0); err != nil || d.Address() == old {
+		t.Errorf("moved from %s to %s, error %v", old, d.Address(), err)
+	}
+	in, body = watch()
+	defer body.Close()
+	next(in, `"all":true`)
+}
