--- a/internal/lab/node/server.go
+++ b/internal/lab/node/server.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math/rand/v2"
+	"sync"
 )
 
 // Verdict is what becomes of a request that has arrived.
@@ -29,8 +30,10 @@
 // knownWork is what it takes to see that a repeat is one, in seconds on a standard core.
 const knownWork = 0.001
 
-// Pod is the memory of effects that the nodes of one pod share: they drop a repeat for a time.
+// Pod is the memory of effects that the nodes of one pod share: they drop a repeat for a time. Unlike the nodes, each of
+// which has one owner, it may be used by several goroutines.
 type Pod struct {
+	mu     sync.Mutex
 	window Time
 	seen   map[uint64]Time
 	order  []effect // the oldest first
@@ -46,6 +49,8 @@
 
 // meets notes an effect and tells whether it is a repeat.
 func (p *Pod) meets(id uint64, now Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for len(p.order) > 0 && now-p.order[0].at >= p.window {
 		if old := p.order[0]; p.seen[old.id] == old.at {
 			delete(p.seen, old.id)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -159,6 +159,7 @@
 	life   int32
 	sent   time.Duration
 	begun  time.Duration // first byte
+	over   time.Duration // ended at
 	known  bool
 	atNode bool
 }
@@ -608,7 +609,7 @@
 		}
 		return
 	}
-	if w.mute(c, a.to) || a.ended && a.begun > w.now {
+	if w.mute(c, a.to) || a.ended && a.over <= a.begun && a.fresh { // given up before the connection was there
 		return
 	}
 	w.emit(record.Event{At: a.begun, Kind: record.Sent, Request: a.req.id, Attempt: a.n, Sidecar: c.i, Node: a.to})
@@ -674,7 +675,7 @@
 	if a.ended || a.req.life != c.life || c.down {
 		return
 	}
-	a.ended = true
+	a.ended, a.over = true, w.now
 	r := a.req
 	r.out--
 	m := w.nodes[a.to]
