--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -43,6 +43,8 @@
 	Stray                    // Node swallows a share Value of all requests
 	Errors                   // Node answers a share Value with errors
 	Garble                   // Node spoils a share Value of its answers
+	CutRequests              // the links to Node break once a request has passed, a share Value of them
+	CutAnswers               // they break in the middle of an answer, a share Value of them
 	CutZone                  // zone Node is cut off from the others (On), or no more
 	Silence                  // discovery says nothing (On), or again
 	RestartSidecar           // sidecar Node is killed and started again
@@ -199,8 +201,9 @@
 		case "turn_away":
 			p.add(Act{At: from, Op: TurnAway, Node: n, Class: class, On: true})
 			p.add(Act{At: to, Op: TurnAway, Node: n, Class: class})
-		case "stray", "errors", "garble":
-			op := map[string]Op{"stray": Stray, "errors": Errors, "garble": Garble}[t.Kind]
+		case "stray", "errors", "garble", "cut_requests", "cut_answers":
+			op := map[string]Op{"stray": Stray, "errors": Errors, "garble": Garble, "cut_requests": CutRequests,
+				"cut_answers": CutAnswers}[t.Kind]
 			p.add(Act{At: from, Op: op, Node: n, Value: t.Size})
 			p.add(Act{At: to, Op: op, Node: n})
 		case "vanish":
--- a/internal/lab/scenario/read.go
+++ b/internal/lab/scenario/read.go
@@ -358,7 +358,7 @@
 	}
 	if n.size {
 		high := 1000.0
-		if slices.Contains([]string{"hot_key", "stray", "errors", "garble"}, t.Kind) {
+		if slices.Contains([]string{"hot_key", "stray", "errors", "garble", "cut_requests", "cut_answers"}, t.Kind) {
 			high = 1 // a share
 		}
 		c.number(at+"size", t.Size, 0.0001, high)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -181,6 +181,8 @@
 	"stray":            {part: true, size: true, lasts: true},
 	"errors":           {part: true, size: true, lasts: true},
 	"garble":           {part: true, size: true, lasts: true},
+	"cut_requests":     {part: true, size: true, lasts: true}, // the link breaks once a request has passed
+	"cut_answers":      {part: true, size: true, lasts: true}, // the link breaks in the middle of an answer
 	"vanish":           {part: true, lasts: true},
 	"crash":            {part: true, lasts: true},
 	"zone_cut":         {zone: true, lasts: true},
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -106,6 +106,8 @@
 	boot   time.Duration
 	listed bool
 	worked float64 // by its former processes
+	cutAsk float64 // share of requests behind which its links break
+	cutAns float64 // share of answers in which they break
 }
 
 type sidecar struct {
@@ -640,6 +642,11 @@
 		a.atNode = true
 		w.emit(record.Event{Kind: record.Ran, Request: a.req.id, Attempt: a.n, Sidecar: c.i, Node: a.to})
 	}
+	if m.cutAsk > 0 && w.rng.Float64() < m.cutAsk {
+		w.q.push(event{at: w.now + w.way(c, a.to), kind: evBack, att: a, status: uint8(record.Broken)})
+		w.cancelled(a)
+		return
+	}
 	w.step(a.to)
 }
 
@@ -656,6 +663,9 @@
 		}
 		w.emit(record.Event{Kind: record.Replied, Request: a.req.id, Attempt: a.n, Node: n, Status: s, Token: w.tokens,
 			Work: j.Work})
+		if m.cutAns > 0 && w.rng.Float64() < m.cutAns {
+			s = record.Broken
+		}
 		if !w.mute(a.req.side, n) {
 			w.q.push(event{at: w.now + w.way(a.req.side, n), kind: evBack, att: a, status: uint8(s), token: w.tokens})
 		}
@@ -710,6 +720,10 @@
 		if alive {
 			c.idle[a.to] = append(c.idle[a.to], idleConn{w.now, a.life})
 		}
+	case s == record.Broken:
+		if alive {
+			m.conns--
+		}
 	case s == record.Called || s == record.TimedOut:
 		if alive && a.begun >= 0 {
 			m.conns--
@@ -834,6 +848,10 @@
 		m.Faults.Errors = a.Value
 	case plan.Garble:
 		m.Faults.Garble = a.Value
+	case plan.CutRequests:
+		m.cutAsk = a.Value
+	case plan.CutAnswers:
+		m.cutAns = a.Value
 	}
 }
 
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -69,6 +69,8 @@
 	links    [][]*standin.Link // by sidecar and node
 	cut      []bool
 	mute     []bool
+	cutAsk   []float64 // by node
+	cutAns   []float64
 	disc     []*standin.Discovery
 	side     []*process
 	clients  []*standin.Clients
@@ -88,7 +90,7 @@
 	defer os.RemoveAll(dir)
 	w := &world{p: p, opt: opt, log: standin.NewLog(), book: standin.NewBook(), dir: dir,
 		rng: rand.New(rand.NewPCG(p.Seed, 0x50c7)), pods: map[int]*node.Pod{}, cut: make([]bool, len(p.Scenario.Fleet.Zones)),
-		mute: make([]bool, len(p.Machines)), lives: make([]int, len(p.Machines)), starts: make([]time.Duration, len(p.Machines)),
+		mute: make([]bool, len(p.Machines)), cutAsk: make([]float64, len(p.Machines)), cutAns: make([]float64, len(p.Machines)), lives: make([]int, len(p.Machines)), starts: make([]time.Duration, len(p.Machines)),
 		told: make([]time.Duration, p.Scenario.Fleet.Sidecars)}
 	defer w.close()
 	if err := w.build(ctx); err != nil {
@@ -190,7 +192,7 @@
 func (w *world) way(i, n int) standin.Way {
 	net := w.p.Scenario.Network
 	zone, at := i%len(w.p.Scenario.Fleet.Zones), w.p.Machines[n].Zone
-	way := standin.Way{Delay: net.Same.Std(), Jitter: net.Jitter, Handshake: w.p.Scenario.Fleet.HandshakeRTTs,
+	way := standin.Way{ResetAfter: w.cutAsk[n], Truncate: w.cutAns[n], Delay: net.Same.Std(), Jitter: net.Jitter, Handshake: w.p.Scenario.Fleet.HandshakeRTTs,
 		Silent: w.mute[n] || zone != at && (w.cut[zone] || w.cut[at])}
 	if zone != at {
 		way.Delay = net.Cross.Std()
@@ -426,6 +428,12 @@
 	case plan.Vanish:
 		w.mute[n] = a.On
 		w.rewire()
+	case plan.CutRequests:
+		w.cutAsk[n] = a.Value
+		w.rewire()
+	case plan.CutAnswers:
+		w.cutAns[n] = a.Value
+		w.rewire()
 	case plan.Silence:
 		for _, d := range w.disc {
 			d.Silence(a.On)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -174,20 +173,15 @@
 		_ = json.NewEncoder(w).Encode(l)
 		return
 	}
-	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
-	if err != nil {
-		from = -1
-	}
-	d.watch(w, r, from)
+	d.watch(w, r)
 }
 
-// watch tells of changes until the connection ends.
-func (d *Discovery) watch(w http.ResponseWriter, r *http.Request, from int64) {
+// watch tells of changes until the connection ends. Its first line always holds the whole list, as it may.
+func (d *Discovery) watch(w http.ResponseWriter, r *http.Request) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
-	whole := true // the first line holds the whole list: the version asked for may be of another count
-	var next int  // of changes
-	_ = from
+	whole := true
+	var next int // of changes
 	for {
 		d.mu.Lock()
 		changed, silent, cut := d.changed, d.silent, d.cut
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -266,13 +266,14 @@
 			under <- x
 		}
 		if err != nil {
-			under <- chunk{due: time.Now().Add(k.way0().Delay), then: "half"}
+			under <- chunk{due: time.Now().Add(k.now().Delay), then: "half"}
 			return
 		}
 	}
 }
 
-func (k *Link) way0() Way {
+// now is the way as it stands.
+func (k *Link) now() Way {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.way
