--- a/internal/lab/report/meter.go
+++ b/internal/lab/report/meter.go
@@ -140,9 +140,8 @@
 	case record.Asked:
 		s := &m.seconds[m.second(e.At)]
 		s.Tries++
-		c := m.chains[e.First]
 		if e.Request == e.First {
-			c = &chain{at: e.At, class: e.Class, worth: m.worths[e.Class] * e.Work, second: m.second(e.At)}
+			c := &chain{at: e.At, class: e.Class, worth: m.worths[e.Class] * e.Work, second: m.second(e.At)}
 			m.chains[e.First] = c
 			s.Asked++
 			s.Worth += c.worth
