--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -46,6 +46,9 @@
 	CutRequests              // the links to Node break once a request has passed, a share Value of them
 	CutAnswers               // they break in the middle of an answer, a share Value of them
 	CutZone                  // zone Node is cut off from the others (On), or no more
+	CutWatch                 // discovery's next lines end midway
+	BackWatch                // discovery goes back to an older version
+	MoveWatch                // discovery moves to a new address
 	Silence                  // discovery says nothing (On), or again
 	RestartSidecar           // sidecar Node is killed and started again
 	Over                     // the trouble's last effect ends here
@@ -163,6 +166,9 @@
 		p.add(Act{At: from, Op: Silence, On: true})
 		p.add(Act{At: to, Op: Silence})
 		return
+	case "discovery_cut", "discovery_back", "discovery_moves":
+		p.add(Act{At: from, Op: map[string]Op{"discovery_cut": CutWatch, "discovery_back": BackWatch, "discovery_moves": MoveWatch}[t.Kind]})
+		return
 	case "zone_cut":
 		zone := slices.Index(p.Scenario.Fleet.Zones, t.Zone)
 		p.add(Act{At: from, Op: CutZone, Node: zone, On: true})
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -187,6 +187,9 @@
 	"crash":            {part: true, lasts: true},
 	"zone_cut":         {zone: true, lasts: true},
 	"discovery_silent": {lasts: true},
+	"discovery_cut":    {}, // the next line of every watch ends midway, with its connection
+	"discovery_back":   {}, // it counts its versions anew and tells the whole list
+	"discovery_moves":  {}, // to a new address, told by a reload
 	"sidecars_restart": {part: true},
 	"power_cut":        {lasts: true},
 	"flood":            {part: true, size: true, lasts: true},
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -812,6 +812,9 @@
 			}
 		}
 		return
+	case plan.CutWatch, plan.BackWatch, plan.MoveWatch:
+		// What the sidecar hears is the same: its network part sees to that, and the socket plane shows it.
+		return
 	case plan.RestartSidecar:
 		w.kill(w.sidecars[n])
 		return
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -140,6 +140,25 @@
 	return p.ended, p.cmd.Process.Signal(s) == nil
 }
 
+// reload has the process read a new configuration, which takes the old one's place at once.
+func (p *process) reload(config []byte) error {
+	fresh := p.file + ".new"
+	if err := os.WriteFile(fresh, config, 0o600); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if err := os.Rename(fresh, p.file); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return nil // it starts with the new one
+	default:
+		return p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
 // kill ends the process at once.
 func (p *process) kill() {
 	if ended, ok := p.signal(syscall.SIGKILL); ok {
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -438,6 +438,16 @@
 		for _, d := range w.disc {
 			d.Silence(a.On)
 		}
+	case plan.CutWatch:
+		for _, d := range w.disc {
+			d.Cut()
+		}
+	case plan.BackWatch:
+		for _, d := range w.disc {
+			d.Back()
+		}
+	case plan.MoveWatch:
+		return w.move()
 	case plan.RestartSidecar:
 		w.restarts.Add(1)
 		go func() { // acts of this moment are not to wait for it
@@ -476,6 +486,23 @@
 	return nil
 }
 
+// oldWatches is how long a discovery that has moved leaves its old connections open.
+const oldWatches = 1500 * time.Millisecond
+
+// move has every discovery move, and tells the sidecars by a reload.
+func (w *world) move() error {
+	for i, d := range w.disc {
+		if err := d.Move(oldWatches); err != nil {
+			return err
+		}
+		p := w.side[i]
+		if err := p.reload(config(w.p, i, p.address, d.Address(), d.Known())); err != nil {
+			return fmt.Errorf("sidecar %s: %w", p.name, err)
+		}
+	}
+	return nil
+}
+
 // tell has every sidecar's discovery tell of a node, some time later and in order.
 func (w *world) tell(n int, state record.State) {
 	notice := w.p.Scenario.Notice
