Add the console with figures, readiness and servers taken out by hand

Need: the staff has no second address, and figures or maintenance cannot be had. A listener of its own answers readiness, figures and down/up; the set of servers that are out is the module's, beside the list.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -85,7 +86,7 @@
 			limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*usual[e.abroad]/e.Size))
 		}
 		in := now >= e.until || pass > 0 && b.panicking
-		e.open = e.State == Ready && in && b.coldRoom(e, pass > 0)
+		e.open = e.State == Ready && !b.out[e.ID] && in && b.coldRoom(e, pass > 0)
 		if expect, held := b.expect(e, now), float64(e.inFlight); e.open {
 			e.expects = expect
 			fits := expect <= limit && e.owed(now) <= bar*held
@@ -298,13 +299,16 @@
 		if e.abroad = 0; entry.Zone != b.set.Zone {
 			e.abroad = 1
 		}
-		if entry.Started != e.Started {
+		if entry.Started = max(entry.Started, b.back[entry.ID]); entry.Started != e.Started {
 			// A restart under the same id is a new process: what was seen of the old one does not count.
 			b.forget(e, entry.Started, now)
 			e.fresh = true
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
 	}
+	maps.DeleteFunc(b.back, func(id string, back Time) bool {
+		return b.known[id] == nil && now-back > b.set.ColdTime
+	})
 	b.endpoints = b.endpoints[:0]
 	for id, e := range b.known {
 		if e.State != Removed {
@@ -314,13 +318,65 @@
 		}
 	}
 	slices.SortFunc(b.endpoints, func(x, y *endpoint) int { return strings.Compare(x.ID, y.ID) })
+	b.recount(now)
+	if kind != ListRemembered {
+		b.refusals = 0
+	}
+}
+
+// recount takes in that endpoints have come, gone, or started.
+func (b *Balancer) recount(now Time) {
 	b.regroup(now)
 	b.fade(now, 1)
 	b.shift(now)
 	b.drawTurns()
-	if kind != ListRemembered {
-		b.refusals = 0
+}
+
+// TakeOut takes an endpoint out by hand, or puts it back, and tells whether it is known: listed, or out. Both
+// may be asked for again. Nothing is sent to one that is out, whatever discovery says of it meanwhile.
+func (b *Balancer) TakeOut(now Time, id string, out bool) (known bool) {
+	e := b.known[id]
+	switch listed := e != nil && e.State != Removed; {
+	case !listed && !b.out[id]:
+		return false
+	case b.out[id] == out:
+		return true
+	case out:
+		b.out[id] = true
+		b.act.Log("taken out by hand " + id)
+	default:
+		// Danger: it was restarted while it was out, and discovery may say so late, or never.
+		delete(b.out, id)
+		b.back[id] = now
+		if e != nil {
+			b.forget(e, now, now)
+			e.Started, e.fresh = now, true
+		}
+		b.act.Log("put back by hand " + id)
+	}
+	b.recount(now)
+	return true
+}
+
+// HandedOut takes out what was out by hand where this Balancer takes over, listed or not.
+func (b *Balancer) HandedOut(now Time, ids []string) {
+	for _, id := range ids {
+		b.out[id] = true
+	}
+	b.recount(now)
+}
+
+// Out lists the endpoints that are out by hand, in order.
+func (b *Balancer) Out() []string { return slices.Sorted(maps.Keys(b.out)) }
+
+// Count tells how many endpoints are listed, and how many of them are avoided, by hand or as they seem bad.
+func (b *Balancer) Count(now Time) (listed, avoided int) {
+	for _, e := range b.endpoints {
+		if b.out[e.ID] || now < e.until && !b.panicking {
+			avoided++
+		}
 	}
+	return len(b.endpoints), avoided
 }
 
 // Timer takes in that a timer is due.
--- /dev/null
+++ b/balance/byhand_test.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// tell plays n requests a millisecond apart, each answered at once, and counts them by endpoint.
+func tell(b *Balancer, h *host, n int) map[string]int {
+	got := map[string]int{}
+	for range n {
+		h.now += time.Millisecond
+		b.Request(h.now, Request{ID: RequestID(h.now), Tenant: -1, Within: 3 * time.Second})
+		for _, s := range h.sent {
+			got[s.to]++
+		}
+		h.answer(b, h.now, Served)
+	}
+	return got
+}
+
+// TestTakenOut takes an endpoint out by hand, with everything that discovery can say of it in between. Danger: the staff
+// works on a machine that traffic returns to.
+func TestTakenOut(t *testing.T) {
+	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "b", Zone: "x", Kind: "big", Size: 1}}
+	restarted := slices.Clone(list)
+	for _, tt := range []struct {
+		name string
+		do   func(b *Balancer, h *host)
+	}{
+		{"nothing said", func(*Balancer, *host) {}},
+		{"taken out again", func(b *Balancer, h *host) { b.TakeOut(h.now, "a", true) }},
+		{"a whole list", func(b *Balancer, h *host) { b.Endpoints(h.now, ListFull, list) }},
+		{"ready again", func(b *Balancer, h *host) { b.Endpoints(h.now, ListChanges, list[:1]) }},
+		{"drained and ready", func(b *Balancer, h *host) {
+			b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1, State: Draining}})
+			b.Endpoints(h.now, ListChanges, list[:1])
+		}},
+		{"gone and back", func(b *Balancer, h *host) {
+			b.Endpoints(h.now, ListFull, list[1:])
+			b.Endpoints(h.now, ListFull, list)
+		}},
+		{"restarted", func(b *Balancer, h *host) {
+			restarted[0].Started = h.now
+			b.Endpoints(h.now, ListFull, restarted)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b, h := start(t, settings(), list)
+			if got := tell(b, h, 100); got["a"] == 0 {
+				t.Fatal("it was never used before")
+			}
+			if !b.TakeOut(h.now, "a", true) {
+				t.Fatal("it is unknown")
+			}
+			tt.do(b, h)
+			if got := tell(b, h, 200); got["a"] != 0 || got["b"] != 200 {
+				t.Errorf("attempts %v while a is out", got)
+			}
+			if listed, avoided := b.Count(h.now); listed != 2 || avoided != 1 {
+				t.Errorf("%d listed, %d avoided, want 2 and 1", listed, avoided)
+			}
+			if !b.TakeOut(h.now, "a", false) || !b.TakeOut(h.now, "a", false) {
+				t.Error("it is unknown when put back, or again")
+			}
+			if e := b.known["a"]; e.Started != h.now {
+				t.Errorf("put back at %v it counts as started at %v", h.now, e.Started)
+			}
+			b.Endpoints(h.now, ListFull, restarted) // an old start told late does not make it warm
+			if e := b.known["a"]; e.Started != h.now {
+				t.Errorf("after a list it counts as started at %v, want %v", e.Started, h.now)
+			}
+			if got := tell(b, h, 1000); got["a"] == 0 || got["a"] > 450 {
+				t.Errorf("attempts %v in the first second after a is back, cold", got)
+			}
+		})
+	}
+}
+
+// TestTakenOutUnknown checks which ids get a no. Danger: a typing mistake passes for a server that is out.
+func TestTakenOutUnknown(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	for _, out := range []bool{true, false} {
+		if b.TakeOut(h.now, "nobody", out) {
+			t.Errorf("out %v: an id that nobody has is known", out)
+		}
+	}
+	b.TakeOut(h.now, "a", true)
+	b.Endpoints(h.now, ListFull, pair()[1:])
+	if !b.TakeOut(h.now, "a", true) || !b.TakeOut(h.now, "a", false) {
+		t.Error("one that is out has left the list, and is unknown")
+	}
+	if b.TakeOut(h.now, "a", false) {
+		t.Error("one that is neither listed nor out is known")
+	}
+	b.Endpoints(h.now, ListFull, pair())
+	if e := b.known["a"]; e.Started != h.now {
+		t.Error("put back while it was not listed, it is not cold when it comes")
+	}
+}
+
+// TestAllTakenOut has a request find nobody: it is refused at once.
+func TestAllTakenOut(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	b.HandedOut(h.now, []string{"a", "b", "later"})
+	b.Request(h.now, Request{ID: 1, Tenant: -1, Within: time.Second})
+	if len(h.sent) != 0 || len(h.refused) != 1 {
+		t.Errorf("%d attempts, %d refusals, want a refusal alone", len(h.sent), len(h.refused))
+	}
+	if got := b.Out(); !slices.Equal(got, []string{"a", "b", "later"}) {
+		t.Errorf("out are %v", got)
+	}
+	b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "later", Zone: "x", Kind: "big", Size: 1}})
+	if b.Request(h.now, Request{ID: 2, Tenant: -1, Within: time.Second}); len(h.sent) != 0 {
+		t.Errorf("an attempt at %v, which was handed over as out", h.sent)
+	}
+}
--- a/balance/route.go
+++ b/balance/route.go
@@ -86,7 +86,7 @@
 		size, spare := 0.0, i == len(b.groups)-1 && listed > 0
 		g.ready, g.size = g.ready[:0], [2]float64{}
 		for _, e := range b.endpoints {
-			if !spare && e.State == Ready && e.joins[i] {
+			if !spare && e.State == Ready && !b.out[e.ID] && e.joins[i] {
 				g.ready = append(g.ready, e)
 				size += e.Size
 				g.size[e.abroad] += e.Size * e.warm
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -19,7 +19,8 @@
 	asked    int
 	faults   []string
 	sends    int
-	done     []string // actions in order
+	done     []string        // actions in order
+	out      map[string]bool // servers taken out by hand
 }
 
 type held struct {
@@ -58,6 +59,9 @@
 		c.fault("rule 3: send to %s, which is not ready", to)
 		return
 	}
+	if c.out[to] {
+		c.fault("send to %s, which is out by hand", to)
+	}
 	if timeout < 0 {
 		c.fault("negative timeout")
 	}
@@ -165,7 +169,9 @@
 		set.Classes = append(set.Classes, Class{Name: fmt.Sprint(i), Effect: e, Scope: Scope((i - 1 + 3) % 3),
 			DedupeWindow: 300 * time.Millisecond, Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: float64(1 + i)})
 	}
-	c := &checker{set: set, now: time.Minute, requests: map[RequestID]*held{}, servers: map[string]*server{}, timers: map[Time][]uint64{}}
+	c := &checker{set: set, now: time.Minute, requests: map[RequestID]*held{}, servers: map[string]*server{}, timers: map[Time][]uint64{},
+		out: map[string]bool{}}
+	staff := rand.New(rand.NewPCG(seed, 8))
 	b, err := New(set, c)
 	if err != nil {
 		t.Fatal(err)
@@ -235,6 +241,15 @@
 			}
 			tell(kind, entries)
 		}
+		if staff.Float64() < .01 { // the staff takes a server out, or puts it back, some that are not listed too
+			id, out := list[staff.IntN(len(list))].ID, staff.IntN(2) == 0
+			known := c.servers[id].listed || c.out[id]
+			if got := b.TakeOut(c.now, id, out); got != known {
+				c.fault("%s is known: %v, want %v", id, got, known)
+			} else if known {
+				c.out[id] = out
+			}
+		}
 		if flip(.005) { // a server falls ill or recovers
 			id := list[rng.IntN(len(list))].ID
 			if _, ill := bad[id]; ill {
--- a/balance/state.go
+++ b/balance/state.go
@@ -19,6 +19,8 @@
 	endpoints  []*endpoint          // listed, by id
 	known      map[string]*endpoint // listed, or removed with attempts out
 	active     []*endpoint          // members of the subsets
+	out        map[string]bool      // taken out by hand, listed or not
+	back       map[string]Time      // put back by hand, and when
 	groups     []*group             // of the best rule, and a last one of all endpoints
 	fleet      *group               // the last of them
 	pace       pace.Meter           // of answers now, against those that the rest of this knows
@@ -155,7 +157,8 @@
 	if err := check(set, act); err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
 	}
-	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
+	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, out: map[string]bool{},
+		back: map[string]Time{}, requests: map[RequestID]*request{},
 		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]quota.Meter, len(set.Tenants)),
 		near: [2]float64{1, leastNear}, tries: uint64(set.MaxAttempts),
 		shape: repeats.NewShape(), budget: repeats.NewBudget(len(set.Classes), budgetShare, budgetMost)}
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,185 @@
+// Package console is the sidecar's second address, for the staff: readiness, figures, and servers taken out by hand. It
+// parses calls and writes answers; what is to be done it asks of the sidecar.
+package console
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Sidecar is what the console asks.
+type Sidecar interface {
+	// Ready tells whether the process is ready to serve, and if not, why.
+	Ready() (ready bool, why string)
+	// Figures returns the figures as text.
+	Figures(ctx context.Context) ([]byte, error)
+	// TakeOut takes a server out by hand, or puts it back. It returns ErrUnknown for one that nobody has. passed says that
+	// the call came from the other process of an upgrade, which needs no telling.
+	TakeOut(ctx context.Context, id string, out, passed bool) error
+}
+
+// ErrUnknown says that there is no such server.
+var ErrUnknown = errors.New("no such server")
+
+const (
+	// Connections that callers hold at most. Callers that send no whole call give way to others.
+	Connections = 16
+
+	callWithin   = 2 * time.Second // a caller may take to send its call
+	answerWithin = 800 * time.Millisecond
+	writeWithin  = 2 * time.Second // and to take the answer
+	mostBody     = 4 << 10
+	mostHeader   = 4 << 10
+	mostID       = 256
+)
+
+// PassedOn marks a call that comes from the other process of an upgrade.
+const PassedOn = "X-Passed-On"
+
+// Server answers calls.
+type Server struct {
+	sidecar Sidecar
+	web     *http.Server
+	callers *callers
+}
+
+// connKey is the key of a call's connection in its context.
+type connKey struct{}
+
+// New returns a server for the calls that come to l.
+func New(l net.Listener, sidecar Sidecar, log *slog.Logger) *Server {
+	s := &Server{sidecar: sidecar, callers: newCallers(l, Connections)}
+	mux := http.NewServeMux()
+	for _, c := range []struct {
+		path, method string
+		do           func(http.ResponseWriter, *http.Request)
+	}{
+		{"/ops/readiness", http.MethodGet, s.readiness},
+		{"/ops/stats", http.MethodGet, s.stats},
+		{"/ops/servers/down", http.MethodPost, func(w http.ResponseWriter, r *http.Request) { s.server(w, r, true) }},
+		{"/ops/servers/up", http.MethodPost, func(w http.ResponseWriter, r *http.Request) { s.server(w, r, false) }},
+	} {
+		mux.HandleFunc(c.path, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != c.method {
+				w.Header().Set("Allow", c.method)
+				http.Error(w, "method "+r.Method+" is not allowed, use "+c.method, http.StatusMethodNotAllowed)
+				return
+			}
+			c.do(w, r)
+		})
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		http.Error(w, "no such path, see /ops/readiness, /ops/stats, /ops/servers/down and /ops/servers/up",
+			http.StatusNotFound)
+	})
+	s.web = &http.Server{Handler: mux, ReadTimeout: callWithin, WriteTimeout: callWithin + answerWithin + writeWithin,
+		MaxHeaderBytes: mostHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	s.web.SetKeepAlivesEnabled(false)
+	return s
+}
+
+// Serve answers calls until Close, and returns why it ended.
+func (s *Server) Serve() error {
+	if err := s.web.Serve(s.callers); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("console: %w", err)
+	}
+	return nil
+}
+
+// Close ends all calls.
+func (s *Server) Close() error { return s.web.Close() }
+
+// whole marks the call as whole: its caller does not give way to others any more.
+func (s *Server) whole(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*caller); ok {
+		s.callers.whole(c)
+	}
+}
+
+func (s *Server) readiness(w http.ResponseWriter, r *http.Request) {
+	s.whole(r)
+	if ready, why := s.sidecar.Ready(); !ready {
+		http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *Server) stats(w http.ResponseWriter, r *http.Request) {
+	s.whole(r)
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	text, err := s.sidecar.Figures(ctx)
+	if err != nil {
+		http.Error(w, "figures: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = w.Write(text) // a caller that is gone needs no figures
+}
+
+func (s *Server) server(w http.ResponseWriter, r *http.Request, out bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		http.Error(w, fmt.Sprintf("body of more than %d bytes", mostBody), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, "body ended early", http.StatusBadRequest)
+		return
+	}
+	id, err := parseTarget(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.whole(r)
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	switch err := s.sidecar.TakeOut(ctx, id, out, r.Header.Get(PassedOn) != ""); {
+	case errors.Is(err, ErrUnknown):
+		http.Error(w, fmt.Sprintf("no server %q", id), http.StatusNotFound)
+	case err != nil:
+		http.Error(w, fmt.Sprintf("server %q: %v", id, err), http.StatusServiceUnavailable)
+	case out:
+		fmt.Fprintf(w, "%s is down\n", id)
+	default:
+		fmt.Fprintf(w, "%s is up\n", id)
+	}
+}
+
+// parseTarget reads the server's id from a call's body.
+func parseTarget(body []byte) (string, error) {
+	if len(bytes.TrimSpace(body)) == 0 {
+		return "", errors.New(`no body, want {"target":"ID"}`)
+	}
+	// encoding/json would take "Target" for "target" and the last of two; a map and a count of its keys do not.
+	var call map[string]json.RawMessage
+	if err := json.Unmarshal(body, &call); err != nil {
+		return "", fmt.Errorf("body is no JSON object: %v", err)
+	}
+	raw, ok := call["target"]
+	if !ok {
+		return "", errors.New("target is missing")
+	}
+	var id *string
+	if err := json.Unmarshal(raw, &id); err != nil || id == nil {
+		return "", errors.New("target is no string")
+	}
+	switch {
+	case *id == "":
+		return "", errors.New("target is empty")
+	case len(*id) > mostID:
+		return "", fmt.Errorf("target has more than %d bytes", mostID)
+	}
+	return *id, nil
+}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,184 @@
+package console
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fake is a sidecar that knows the servers of out.
+type fake struct {
+	notReady string
+	err      error
+	out      map[string]bool
+	passed   bool
+}
+
+func (f *fake) Ready() (bool, string) { return f.notReady == "", f.notReady }
+
+func (f *fake) Figures(context.Context) ([]byte, error) { return []byte("sidecar.loads=0\n"), f.err }
+
+func (f *fake) TakeOut(_ context.Context, id string, out, passed bool) error {
+	if _, ok := f.out[id]; !ok {
+		return ErrUnknown
+	}
+	f.out[id], f.passed = out, passed
+	return f.err
+}
+
+// open starts a console and returns its address.
+func open(t *testing.T, f *fake) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, done := New(l, f, slog.New(slog.DiscardHandler)), make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() {
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+// say sends text and returns the answer.
+func say(t *testing.T, address, text string) (status int, allow, body string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	all, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Close {
+		t.Error("the connection lives on")
+	}
+	return r.StatusCode, r.Header.Get("Allow"), string(all)
+}
+
+func call(method, path, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+}
+
+// TestCalls holds the answers to good and bad calls. Danger: a mistaken call that passes for done.
+func TestCalls(t *testing.T) {
+	for _, tt := range []struct {
+		name, method, path, body string
+		fake                     fake
+		status                   int
+		says                     string
+	}{
+		{"ready", "GET", "/ops/readiness", "", fake{}, 200, "ready"},
+		{"not ready", "GET", "/ops/readiness", "", fake{notReady: "told to stop"}, 503, "not ready: told to stop"},
+		{"figures", "GET", "/ops/stats", "", fake{}, 200, "sidecar.loads=0"},
+		{"figures late", "GET", "/ops/stats", "", fake{err: errors.New("busy")}, 503, "figures: busy"},
+		{"down", "POST", "/ops/servers/down", `{"target":"s-1"}`, fake{}, 200, "s-1 is down"},
+		{"up", "POST", "/ops/servers/up", ` {"target":"s-1","why":[1]} `, fake{}, 200, "s-1 is up"},
+		{"unknown server", "POST", "/ops/servers/down", `{"target":"s-9"}`, fake{}, 404, `no server "s-9"`},
+		{"busy", "POST", "/ops/servers/down", `{"target":"s-1"}`, fake{err: errors.New("busy")}, 503, "busy"},
+		{"unknown path", "GET", "/ops", "", fake{}, 404, "no such path"},
+		{"requests do not come here", "GET", "/api", "", fake{}, 404, "no such path"},
+		{"wrong method", "POST", "/ops/stats", "{}", fake{}, 405, "use GET"},
+		{"wrong method of a change", "GET", "/ops/servers/up", "", fake{}, 405, "use POST"},
+		{"no body", "POST", "/ops/servers/up", "", fake{}, 400, "no body"},
+		{"cut short", "POST", "/ops/servers/up", `{"target":"s-1"`, fake{}, 400, "no JSON object"},
+		{"two values", "POST", "/ops/servers/up", `{"target":"s-1"}{}`, fake{}, 400, "no JSON object"},
+		{"a list", "POST", "/ops/servers/up", `["s-1"]`, fake{}, 400, "no JSON object"},
+		{"null", "POST", "/ops/servers/up", `null`, fake{}, 400, "target is missing"},
+		{"another key", "POST", "/ops/servers/up", `{"Target":"s-1"}`, fake{}, 400, "target is missing"},
+		{"a number", "POST", "/ops/servers/up", `{"target":1}`, fake{}, 400, "target is no string"},
+		{"a null target", "POST", "/ops/servers/up", `{"target":null}`, fake{}, 400, "target is no string"},
+		{"an empty target", "POST", "/ops/servers/up", `{"target":""}`, fake{}, 400, "target is empty"},
+		{"a long target", "POST", "/ops/servers/up", `{"target":"` + strings.Repeat("x", 300) + `"}`, fake{}, 400, "more than"},
+		{"a long body", "POST", "/ops/servers/up", strings.Repeat(" ", mostBody+1), fake{}, 413, "more than"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := tt.fake
+			f.out = map[string]bool{"s-1": false}
+			status, allow, body := say(t, open(t, &f), call(tt.method, tt.path, tt.body))
+			if status != tt.status || !strings.Contains(body, tt.says) || strings.Count(body, "\n") != 1 {
+				t.Errorf("%d %q, want %d with %q on one line", status, body, tt.status, tt.says)
+			}
+			if (status == 405) != (allow != "") {
+				t.Errorf("status %d with Allow %q", status, allow)
+			}
+			if want := status == 200 && strings.HasSuffix(tt.path, "/down"); f.out["s-1"] != want && tt.name != "busy" {
+				t.Errorf("s-1 is out: %v", f.out["s-1"])
+			}
+		})
+	}
+}
+
+// TestHeldConnections has more callers than there is room for hold connections with no whole call, one of them with a
+// head and a part of its body. A whole call is answered beside them, and the oldest of them is closed. Danger: they keep
+// the staff out.
+func TestHeldConnections(t *testing.T) {
+	address := open(t, &fake{out: map[string]bool{"s-1": false}})
+	var held []net.Conn
+	for i := range 3 * Connections {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		text := []string{"", "GET /ops/st", "POST /ops/servers/down HTTP/1.1\r\nHost: x\r\nContent-Length: 16\r\n\r\n{"}[i%3]
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	if status, _, _ := say(t, address, call("GET", "/ops/readiness", "")); status != 200 {
+		t.Errorf("status %d", status)
+	}
+	_ = held[0].SetReadDeadline(time.Now().Add(30 * time.Second))
+	if n, err := held[0].Read(make([]byte, 1)); n != 0 || err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("the longest held connection got %d bytes, error %v", n, err)
+	}
+}
+
+// TestPassedOn tells calls of the staff from those that the other process of an upgrade passes on.
+func TestPassedOn(t *testing.T) {
+	f := &fake{out: map[string]bool{"s-1": false}}
+	say(t, open(t, f), "POST /ops/servers/down HTTP/1.1\r\nHost: x\r\n"+PassedOn+": 1\r\nContent-Length: 16\r\n\r\n{\"target\":\"s-1\"}")
+	if !f.passed || !f.out["s-1"] {
+		t.Errorf("passed on %v, out %v", f.passed, f.out)
+	}
+}
+
+// FuzzTarget has no body be taken for another target than a plain reading of it gives.
+func FuzzTarget(f *testing.F) {
+	for _, s := range []string{`{"target":"a"}`, `{"target":1}`, `{}`, `[]`, ``, `{"target":"a","target":"b"}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		id, err := parseTarget(body)
+		if (err == nil) != (id != "") || len(id) > mostID {
+			t.Errorf("%q is read as %q, error %v", body, id, err)
+		}
+	})
+}
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -1,5 +1,7 @@
 package sidecar
 
+import "beechmill.example/beechmill/internal/console"
+
 // budget shares out the descriptors that the process may hold. Danger: without any left, accepting fails for all.
 type budget struct {
 	requests int // held at once; each has a connection of its client
@@ -8,15 +10,21 @@
 	upstream int // connections to servers, with a request or idle
 }
 
+// consoleSockets are set aside for the console: its listener, its callers, and one that is being taken.
+const consoleSockets = console.Connections + 2
+
 // spareSockets are for the listener, discovery's watches, a connection that is about to be closed, and the runtime.
 const spareSockets = 20
 
 // usualShare of the connections that clients can hold with a request leaves the rest for bursts.
 const usualShare = 0.75
 
-func newBudget(sockets int) budget {
-	all := sockets - spareSockets
+func newBudget(c *Config) budget {
+	all := c.Sockets - spareSockets
+	if c.Console != "" {
+		all -= consoleSockets
+	}
 	clients := all / 2
-	held := min(sockets/3, clients-clients/8) // clients hold a third of the descriptors at most for requests
+	held := min(c.Sockets/3, clients-clients/8) // clients hold a third of the descriptors at most for requests
 	return budget{requests: held, clients: clients, usual: max(int(usualShare*float64(held)), 1), upstream: all - clients}
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -154,7 +154,7 @@
 	held := make(chan gotten, 1)
 	go func() { held <- p.do(p.request(context.Background(), "book", "50000")) }()
 	within(t, b.came, "attempt")
-	most := newBudget(64).clients
+	most := newBudget(&Config{Sockets: 64}).clients
 	first := p.dial()
 	for range 4 * most {
 		p.dial()
@@ -233,7 +233,7 @@
 	b := startBackend(t, say(200, "", "ok"))
 	config := strings.Replace(configText(startRegistry(t).address, serving(1, b), testSettings), `"sockets":1024`, `"sockets":64`, 1)
 	p := start(t, config)
-	budget := newBudget(64)
+	budget := newBudget(&Config{Sockets: 64})
 	kept, ended := 0, 0
 	for i := range 3 * budget.clients {
 		c := p.dial() // stays open to the end
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -21,6 +21,7 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string // where discovery, or its agent on this machine, listens
+	Console   string // where the staff's calls come; "": nowhere
 	Cores     float64
 	MemoryMB  int
 	Sockets   int
@@ -47,6 +48,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Console   string
 	Seed      string
 	Limits    struct {
 		Cores    *float64
@@ -57,8 +59,8 @@
 	Settings json.RawMessage
 }
 
-// LoadConfig reads the configuration from the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN and
-// PROXY_DISCOVERY go before what the file says.
+// LoadConfig reads the configuration from the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN,
+// PROXY_DISCOVERY and PROXY_CONSOLE go before what the file says.
 func LoadConfig(getenv func(string) string) (*Config, error) {
 	return readConfig(getenv, func(file string) string { return cmp.Or(getenv("PROXY_DISCOVERY"), file) })
 }
@@ -95,6 +97,7 @@
 		Name:      cmp.Or(getenv("PROXY_NAME"), file.Name),
 		Listen:    cmp.Or(getenv("PROXY_LISTEN"), file.Listen),
 		Discovery: file.Discovery,
+		Console:   cmp.Or(getenv("PROXY_CONSOLE"), file.Console),
 		Cores:     defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 		getenv: getenv,
 	}
@@ -103,6 +106,11 @@
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
+	if c.Console != "" {
+		if err := checkAddress(c.Console); err != nil {
+			return nil, fmt.Errorf("console: %w", err)
+		}
+	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", file.Seed)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
+	"beechmill.example/beechmill/internal/stats"
 )
 
 const (
@@ -39,6 +40,7 @@
 type call struct {
 	message
 	class    int
+	counts   *stats.Class
 	tenant   int
 	retry    bool      // its client asked before
 	deadline time.Time // the final answer is due
@@ -55,6 +57,7 @@
 	log      *slog.Logger
 	origin   time.Time
 	upstream *upstream
+	figures  *stats.Figures
 	connect  time.Duration // for a connection to come up
 	ready    chan struct{} // closed once servers are known
 
@@ -82,9 +85,9 @@
 // newHost returns a host whose attempts and watches end with ctx.
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
 	h := &host{log: log, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
-		upstream: newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, c.MemoryMB),
-		connect:  c.Limits.ConnectTimeout,
-		calls:    map[balance.RequestID]*call{}, rev: -1, ctx: ctx, watches: watches{address: c.Discovery}}
+		figures: &stats.Figures{}, connect: c.Limits.ConnectTimeout,
+		calls: map[balance.RequestID]*call{}, rev: -1, ctx: ctx, watches: watches{address: c.Discovery}}
+	h.upstream = newUpstream(c, &h.figures.Tries)
 	h.now = h.clock()
 	var err error
 	if h.balancer, err = balance.New(c.Settings, h); err != nil {
--- a/internal/sidecar/ids.go
+++ b/internal/sidecar/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,7 +13,8 @@
 // be a second copy for servers, and one of the two would get the other's answer. It may still be on its way when the
 // first has its answer.
 type ids struct {
-	most int // requests in hand
+	most   int          // requests in hand
+	inHand atomic.Int64 // how many held has, for those who only look
 
 	mu      sync.Mutex
 	held    map[string]bool
@@ -33,6 +35,7 @@
 	full = len(i.held) >= i.most
 	if !known && !full {
 		i.held[id] = true
+		i.inHand.Store(int64(len(i.held)))
 	}
 	return known, full
 }
@@ -43,6 +46,7 @@
 	defer i.mu.Unlock()
 	i.rotate()
 	delete(i.held, id)
+	i.inHand.Store(int64(len(i.held)))
 	i.ended[0][id] = true
 }
 
--- /dev/null
+++ b/internal/sidecar/ops.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"beechmill.example/beechmill/internal/console"
+	"beechmill.example/beechmill/internal/stats"
+)
+
+// ops is what the console asks of the sidecar.
+type ops struct {
+	host    *host
+	figures *stats.Figures
+	server  atomic.Pointer[server] // nil: does not listen yet
+}
+
+// Ready implements console.Sidecar.
+func (o *ops) Ready() (bool, string) {
+	s := o.server.Load()
+	switch {
+	case s == nil:
+		return false, "not listening yet"
+	case s.draining.Load():
+		return false, "told to stop"
+	}
+	select {
+	case <-o.host.ready:
+		return true, ""
+	default:
+		return false, "no list of servers yet"
+	}
+}
+
+// Figures implements console.Sidecar.
+func (o *ops) Figures(ctx context.Context) ([]byte, error) {
+	var g stats.Gauges
+	err := o.host.ask(ctx, func() { g.Known, g.Skipped = o.host.balancer.Count(o.host.now) })
+	if err != nil {
+		return nil, err
+	}
+	if s := o.server.Load(); s != nil {
+		g.InProgress = int(s.ids.inHand.Load())
+	}
+	var text bytes.Buffer
+	err = o.figures.Write(&text, g)
+	return text.Bytes(), err
+}
+
+// TakeOut implements console.Sidecar.
+func (o *ops) TakeOut(ctx context.Context, id string, out, _ bool) error {
+	known := false
+	if err := o.host.ask(ctx, func() { known = o.host.takeOut(id, out) }); err != nil {
+		return err
+	}
+	if !known {
+		return console.ErrUnknown
+	}
+	return nil
+}
+
+// ask has the loop do something and waits until it has, or until ctx ends: then it may still do it.
+func (h *host) ask(ctx context.Context, do func()) error {
+	done := make(chan struct{})
+	h.post(func() {
+		do()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("the sidecar is busy: %w", context.Cause(ctx))
+	}
+}
+
+// takeOut takes a server out by hand, or puts it back, and tells whether it is known.
+func (h *host) takeOut(id string, out bool) (known bool) {
+	if known = h.balancer.TakeOut(h.now, id, out); known {
+		h.upstream.bar(id, out)
+	}
+	return known
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -18,6 +18,9 @@
 // errNoSocket says that the descriptors do not allow one more connection.
 var errNoSocket = errors.New("no descriptor left for a connection")
 
+// errGone says that the server was taken out, removed or restarted while a connection to it came up.
+var errGone = errors.New("server is gone")
+
 // pool holds the connections to the servers, one request at a time on each. http.Transport is not used: it may put a
 // connection back with bytes behind the answer, and take them for the answer to the next request.
 type pool struct {
@@ -158,6 +161,13 @@
 	}
 }
 
+// left tells whether a server was removed, moved, restarted or taken out since it was asked for.
+func (p *pool) left(t *target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return t.gone
+}
+
 // unlist takes a connection from the idle ones. The lock is held.
 func (p *pool) unlist(c *serverConn) {
 	p.idle.Remove(c.place)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -12,6 +12,8 @@
 	"runtime/debug"
 	"sync"
 	"time"
+
+	"beechmill.example/beechmill/internal/console"
 )
 
 const memoryShare = 0.7 // of the limit that the heap may grow to
@@ -50,6 +52,14 @@
 	if err != nil {
 		return err
 	}
+	staff := &ops{host: h, figures: h.figures}
+	if c.Console != "" {
+		stopConsole, err := startConsole(c.Console, staff, log)
+		if err != nil {
+			return err
+		}
+		defer stopConsole()
+	}
 	var loop sync.WaitGroup
 	loop.Add(2)
 	go func() {
@@ -75,6 +85,7 @@
 	web := s.httpServer(log)
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(s.conns) }()
+	staff.server.Store(s)
 	log.Info("serving", "name", c.Name, "address", inner.Addr().String())
 	select {
 	case err := <-ended:
@@ -106,6 +117,28 @@
 	return nil
 }
 
+// startConsole has the console listen, and returns what ends it.
+func startConsole(address string, staff *ops, log *slog.Logger) (stop func(), err error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w", err)
+	}
+	calls := console.New(l, staff, log)
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() {
+		defer over.Done()
+		if err := calls.Serve(); err != nil {
+			log.Error("console ended", "err", err)
+		}
+	}()
+	log.Info("console", "at", l.Addr().String())
+	return func() {
+		_ = calls.Close() // ends Serve, which tells
+		over.Wait()
+	}, nil
+}
+
 // drainListener goes on accepting for some time after it is told to stop.
 type drainListener struct {
 	*net.TCPListener
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
+	"beechmill.example/beechmill/internal/stats"
 )
 
 const (
@@ -31,20 +32,22 @@
 	config   *Config
 	ids      *ids
 	conns    *clientConns
-	again    time.Duration // when to come back if too many requests are held
+	counts   []*stats.Class // by class
+	again    time.Duration  // when to come back if too many requests are held
 	draining atomic.Bool
 	active   atomic.Int64 // handlers at work
 }
 
 // newServer returns a server for the connections that l accepts.
 func newServer(c *Config, h *host, l net.Listener) *server {
-	b := newBudget(c.Sockets)
+	b := newBudget(c)
 	if c.Limits.MostHeld > 0 {
 		b.requests = min(b.requests, c.Limits.MostHeld)
 	}
 	s := &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual)}
 	for _, class := range c.Settings.Classes {
 		s.again = min(cmp.Or(s.again, class.Aim), class.Aim)
+		s.counts = append(s.counts, h.figures.Class(class.Name))
 	}
 	return s
 }
@@ -129,6 +132,7 @@
 		return &fault{http.StatusConflict, "X-Request-ID is in use", ""}
 	case full:
 		answer{kind: refused, after: s.again}.write(w)
+		c.counts.Dropped.Add(1)
 		return nil
 	}
 	a, ok := s.host.serve(r.Context(), c)
@@ -141,6 +145,14 @@
 	// Danger: a client that reads no answers would hold its handler for good.
 	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	a.write(w)
+	switch a.kind {
+	case served:
+		c.counts.Passed.Add(1)
+	case refused:
+		c.counts.Dropped.Add(1)
+	default:
+		c.counts.BadGateway.Add(1)
+	}
 	return nil
 }
 
@@ -209,6 +221,7 @@
 	// Danger: a client that claims to wait for weeks would be held for weeks.
 	wait := min(time.Duration(ms)*time.Millisecond, s.config.Settings.Classes[class].Deadline)
 	c.class, c.tenant, c.retry = class, -1, r.Header.Get("X-Retried") == "1"
+	c.counts = s.counts[class]
 	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beechmill.example/beechmill/balance"
@@ -39,17 +40,34 @@
 type upstream struct {
 	within time.Duration // for the rest of an answer that has begun
 	pool   *pool
+	tries  *atomic.Int64 // written whole
 
 	mu      sync.Mutex
 	targets map[string]*target
+	barred  map[string]bool // taken out by hand
 }
 
-// newUpstream returns an upstream. connect is how long the network may take to bring a connection up, and so also the
-// rest of an answer that has begun.
-func newUpstream(connect, idleClose time.Duration, sockets, memoryMB int) *upstream {
+// newUpstream returns an upstream that counts its tries. How long the network may take to bring a connection up, the
+// rest of an answer that has begun may take too.
+func newUpstream(c *Config, tries *atomic.Int64) *upstream {
 	// Half of the time after which servers close a connection keeps well clear of that.
-	return &upstream{within: connect, pool: newPool(connect, idleClose/2, newBudget(sockets).upstream, memoryMB),
-		targets: map[string]*target{}}
+	connect, rest := c.Limits.ConnectTimeout, c.Limits.IdleClose/2
+	return &upstream{within: connect, pool: newPool(connect, rest, newBudget(c).upstream, c.MemoryMB), tries: tries,
+		targets: map[string]*target{}, barred: map[string]bool{}}
+}
+
+// bar keeps everything new from a server that is taken out by hand, or lets it go there again. Danger: the staff
+// restarts it meanwhile. Its connections would swallow what is sent on them, and one that is just coming up is new.
+func (u *upstream) bar(id string, out bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.barred[id] = out; !out {
+		delete(u.barred, id)
+	}
+	if t := u.targets[id]; t != nil && out {
+		u.drop(id)
+		u.targets[id] = &target{address: t.address, boot: t.boot}
+	}
 }
 
 // update takes in a list: where each server listens now.
@@ -84,9 +102,9 @@
 // attempt sends m to a server and waits for the end, until ctx is done. It sends it at most once.
 func (u *upstream) attempt(ctx context.Context, id string, m *message) reply {
 	u.mu.Lock()
-	to := u.targets[id]
+	to, barred := u.targets[id], u.barred[id]
 	u.mu.Unlock()
-	if to == nil || ctx.Err() != nil {
+	if to == nil || barred || ctx.Err() != nil {
 		return reply{outcome: balance.NotSent}
 	}
 	begun := time.Now()
@@ -99,10 +117,16 @@
 	request := m.request(ctx, to.address)
 	// Danger: a deadline set by another goroutine comes too late for a second copy that is called off as it is sent.
 	n, err := 0, ctx.Err()
+	if err == nil && u.pool.left(to) {
+		err = errGone
+	}
 	if err == nil {
 		n, err = c.Write(request)
 	}
 	ran := n == len(request) // Danger: a request taken for unwritten that was written runs twice.
+	if ran {
+		u.tries.Add(1)
+	}
 	var r reply
 	clean := false
 	if err == nil {
@@ -143,7 +167,7 @@
 func (u *upstream) failed(ctx context.Context, to *target, begun time.Time, ran bool, err error) reply {
 	cause := ctx.Err()
 	switch {
-	case errors.Is(err, errNoSocket) || errors.Is(cause, context.Canceled) && !ran:
+	case errors.Is(err, errNoSocket) || errors.Is(err, errGone) || errors.Is(cause, context.Canceled) && !ran:
 		return reply{outcome: balance.NotSent}
 	case errors.Is(cause, context.Canceled):
 		return reply{outcome: balance.Cancelled}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"beechmill.example/beechmill/balance"
+	"beechmill.example/beechmill/internal/wire"
 )
 
 func parsed(t *testing.T, text string) List {
@@ -23,7 +25,8 @@
 
 // to is an upstream that knows the backends.
 func to(t *testing.T, backends ...*backend) *upstream {
-	u := newUpstream(patience, patience, defaultSockets, defaultMemoryMB)
+	u := newUpstream(&Config{Sockets: defaultSockets, MemoryMB: defaultMemoryMB,
+		Limits: wire.Limits{ConnectTimeout: patience, IdleClose: patience}}, &atomic.Int64{})
 	u.update(parsed(t, serving(1, backends...)))
 	t.Cleanup(func() { u.update(List{All: true}) })
 	return u
--- /dev/null
+++ b/internal/stats/stats_test.go
@@ -0,0 +1,47 @@
+package stats
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestWrite checks names, order and form. Danger: a reader takes a figure that is missing for 0.
+func TestWrite(t *testing.T) {
+	var f Figures
+	f.Class("read").Passed.Add(3)
+	f.Class("book").Dropped.Add(2)
+	f.Class("book").BadGateway.Add(1)
+	f.Tries.Add(7)
+	f.Loads.Add(4)
+	f.LoadErrors.Add(5)
+	var got strings.Builder
+	if err := f.Write(&got, Gauges{InProgress: 14, Known: 9, Skipped: 2}); err != nil {
+		t.Fatal(err)
+	}
+	want := `sidecar.passed.book=0
+sidecar.dropped.book=2
+sidecar.bad_gateway.book=1
+sidecar.passed.read=3
+sidecar.dropped.read=0
+sidecar.bad_gateway.read=0
+sidecar.upstream_tries=7
+sidecar.in_progress=14
+sidecar.known_servers=9
+sidecar.skipped_servers=2
+sidecar.loads=4
+sidecar.load_errors=5
+`
+	if got.String() != want {
+		t.Errorf("got\n%s\nwant\n%s", got.String(), want)
+	}
+}
+
+// TestClassKeeps checks that a class that is named again goes on counting.
+func TestClassKeeps(t *testing.T) {
+	var f Figures
+	f.Class("read").Passed.Add(1)
+	f.Class("read").Passed.Add(1)
+	if n := f.Class("read").Passed.Load(); n != 2 {
+		t.Errorf("%d, want 2", n)
+	}
+}
