Take new classes and limits at SIGHUP, and turn bad files down whole

Cause: a reload moved discovery alone, and a file with a missing or impossible setting was half used. The file is checked whole and held against the one in use; the module replaces classes and attempts at once, open requests keep their terms.

--- a/balance/api.go
+++ b/balance/api.go
@@ -143,6 +143,8 @@
 	Tenant int // index into Settings.Tenants, or -1
 	Within time.Duration
 	Retry  bool // the client says that it asked before
+	// Terms are what the class was when the request came; nil: what it is now.
+	Terms *Class
 }
 
 // Outcome is how an attempt ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,7 @@
 	if _, twice := b.requests[r.ID]; twice || r.Class < 0 || r.Class >= len(b.set.Classes) {
 		return
 	}
-	q := &request{Request: r, class: &b.set.Classes[r.Class], deadline: now + r.Within,
+	q := &request{Request: r, class: cmp.Or(r.Terms, &b.set.Classes[r.Class]), deadline: now + r.Within,
 		over: b.overShare(r.Tenant, now)}
 	b.requests[r.ID] = q
 	if r.Retry {
@@ -112,7 +112,7 @@
 	b.sends++
 	to.last = b.sends
 	b.act.Send(q.ID, to.ID, 0)
-	token := tokenLate + uint64(q.ID)*b.tries + uint64(len(q.attempts)-1)
+	token := tokenLate + uint64(q.ID)*mostTries + uint64(len(q.attempts)-1)
 	b.lookAgain(min(b.lateTime(q.Class), b.doubtTime(q, &q.attempts[len(q.attempts)-1])), token)
 }
 
@@ -395,6 +395,6 @@
 			b.regroup(now)
 		}
 	default:
-		b.overdue(b.requests[RequestID((token-tokenLate)/b.tries)], int((token-tokenLate)%b.tries), token, now)
+		b.overdue(b.requests[RequestID((token-tokenLate)/mostTries)], int((token-tokenLate)%mostTries), token, now)
 	}
 }
--- a/balance/check.go
+++ b/balance/check.go
@@ -20,6 +20,8 @@
 		return fmt.Errorf("field Self: sidecar %d of %d", set.Self, set.Peers)
 	case set.MaxAttempts < 1:
 		return fmt.Errorf("field MaxAttempts: %d attempts", set.MaxAttempts)
+	case set.MaxAttempts > mostTries:
+		return fmt.Errorf("field MaxAttempts: %d attempts, %d at most", set.MaxAttempts, mostTries)
 	case !within(set.StartCapacity, 0, 1):
 		return fmt.Errorf("field StartCapacity: %v is no share from 0 to 1", set.StartCapacity)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -41,6 +41,8 @@
 	overBar      = 0.5                    // bar of requests beyond an allowance, as a share of their class's
 	coldEarly    = 2.0                    // shares that a cold endpoint gets at most
 	leastSubset  = 4                      // endpoints of a group that a sidecar uses at least: some may fail
+	mostTries    = 1 << 12                // of a request, that timers can tell apart
+	mostClasses  = 256                    // that may come and go by new settings
 	leastNear    = 0.001                  // weight of other zones at least: enough to know them
 	shiftStep    = 0.03                   // of the way to go, what a tick moves the weight of other zones
 )
@@ -63,7 +65,9 @@
 	own := b.set.Classes[class].Worth / b.work[class]
 	dearest := math.SmallestNonzeroFloat64
 	for i, c := range b.set.Classes {
-		dearest = math.Max(dearest, c.Worth/b.work[i])
+		if !b.dropped[i] {
+			dearest = math.Max(dearest, c.Worth/b.work[i])
+		}
 	}
 	return refuseAt * b.aim * math.Sqrt(own/dearest)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"beechmill.example/beechmill/internal/pace"
@@ -36,7 +37,7 @@
 	losses     repeats.Record // of the fleet
 	budget     repeats.Budget
 	aim        float64    // the shortest aim
-	tries      uint64     // the most attempts of a request
+	dropped    []bool     // of the classes, that are in the settings no more
 	near       [2]float64 // weight of the own zone, which is 1, and of the others
 	room       float64    // registered size of the active endpoints for their warmth and zone
 	whole      float64    // and for their warmth alone
@@ -160,17 +161,10 @@
 	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, out: map[string]bool{},
 		back: map[string]Time{}, requests: map[RequestID]*request{},
 		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]quota.Meter, len(set.Tenants)),
-		near: [2]float64{1, leastNear}, tries: uint64(set.MaxAttempts),
+		near:  [2]float64{1, leastNear},
 		shape: repeats.NewShape(), budget: repeats.NewBudget(len(set.Classes), budgetShare, budgetMost)}
-	for _, c := range set.Classes {
-		b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
-		b.work = append(b.work, c.Aim.Seconds()) // until answers tell
-		b.spread = append(b.spread, 0)
-	}
+	b.setTerms()
 	b.mean = b.aim
-	for _, t := range set.Tenants {
-		b.allowed += t.Allowance
-	}
 	b.setRoutes()
 	act.Timer(time.Duration(b.rng.Float64()*float64(tickEvery)), tokenTick)
 	if set.AskDiscovery {
@@ -180,3 +174,70 @@
 	}
 	return b, nil
 }
+
+// setTerms takes in the settings of classes and tenants.
+func (b *Balancer) setTerms() {
+	b.aim, b.allowed = 0, 0
+	b.dropped = append(b.dropped, make([]bool, len(b.set.Classes)-len(b.dropped))...)
+	for i, c := range b.set.Classes {
+		if !b.dropped[i] {
+			b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
+		}
+		if i == len(b.work) {
+			b.work = append(b.work, c.Aim.Seconds()) // until answers tell
+			b.spread = append(b.spread, 0)
+		}
+	}
+	for _, t := range b.set.Tenants {
+		b.allowed += t.Allowance
+	}
+	b.budget.Grow(len(b.set.Classes))
+	for _, e := range b.known {
+		e.classes = append(e.classes, make([]repeats.Access, len(b.set.Classes)-len(e.classes))...)
+	}
+}
+
+// Configure replaces the settings, but for those of the sidecar's place in the deployment: its number, zone and
+// rules. Requests that are open keep their class, and what is known of endpoints stays. It returns where each of
+// the new classes stands from now on, for Request, or an error, and then nothing has changed. A class is known
+// by its name, and one that is dropped keeps its place.
+func (b *Balancer) Configure(set Settings) (places []int, err error) {
+	old := b.set
+	set.Seed, set.Self, set.Peers, set.Kinds = old.Seed, old.Self, old.Peers, old.Kinds
+	set.Zone, set.Zones = old.Zone, old.Zones
+	set.Service, set.Tags, set.Rules, set.AskDiscovery = old.Service, old.Tags, old.Rules, old.AskDiscovery
+	if err := check(set, b.act); err != nil {
+		return nil, fmt.Errorf("balance: %w", err)
+	}
+	classes, dropped := slices.Clone(old.Classes), make([]bool, len(old.Classes))
+	for i := range dropped {
+		dropped[i] = true
+	}
+	for i, c := range set.Classes {
+		at := slices.IndexFunc(classes, func(o Class) bool { return o.Name == c.Name })
+		switch {
+		case slices.Contains(places, at):
+			return nil, fmt.Errorf("balance: class %d, %q: named twice", i, c.Name)
+		case at >= 0:
+			classes[at], dropped[at] = c, false
+		case len(classes) >= mostClasses:
+			return nil, fmt.Errorf("balance: class %d, %q: more than %d in this process's life", i, c.Name, mostClasses)
+		default:
+			at = len(classes)
+			classes, dropped = append(classes, c), append(dropped, false)
+		}
+		places = append(places, at)
+	}
+	set.Classes = classes
+	b.set, b.dropped = set, dropped
+	tenants := make([]quota.Meter, len(set.Tenants))
+	for i, t := range set.Tenants {
+		at := slices.IndexFunc(old.Tenants, func(o Tenant) bool { return o.Name == t.Name })
+		if at >= 0 {
+			tenants[i] = b.tenants[at]
+		}
+	}
+	b.tenants = tenants
+	b.setTerms()
+	return places, nil
+}
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -227,6 +227,13 @@
 	return b
 }
 
+// Grow adds classes until there are so many.
+func (b *Budget) Grow(classes int) {
+	for len(b.classes) < classes {
+		b.classes = append(b.classes, b.most)
+	}
+}
+
 // Earn takes in a success.
 func (b *Budget) Earn(class int) {
 	b.whole = min(b.whole+b.rate, b.most)
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -56,7 +56,7 @@
 				return false
 			})
 			u := to(t, b)
-			u.within = 100 * time.Millisecond
+			u.within.Store(int64(100 * time.Millisecond))
 			if r := u.attempt(context.Background(), "s-0", get()); r.outcome != balance.Errored || r.body != nil {
 				t.Errorf("outcome %d, body %q, want an error", r.outcome, r.body)
 			}
@@ -217,7 +217,7 @@
 		return false
 	})
 	u := to(t, b)
-	u.pool.rest = 20 * time.Millisecond
+	u.pool.rest.Store(int64(20 * time.Millisecond))
 	u.attempt(context.Background(), "s-0", get())
 	within(t, closed, "end of the idle connection")
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -31,6 +31,7 @@
 	Limits    wire.Limits
 
 	getenv func(string) string // where it came from
+	tree   map[string]any      // all of the file but the list
 }
 
 // The limits and settings of a sidecar that is told none.
@@ -67,7 +68,14 @@
 
 // reload reads the configuration again. The file is newer than the environment now: its discovery goes first.
 func (c *Config) reload() (*Config, error) {
-	return readConfig(c.getenv, func(file string) string { return cmp.Or(file, c.getenv("PROXY_DISCOVERY")) })
+	fresh, err := readConfig(c.getenv, func(file string) string { return cmp.Or(file, c.getenv("PROXY_DISCOVERY")) })
+	if err != nil {
+		return nil, err
+	}
+	if missing := lacks("", c.tree, fresh.tree); missing != "" {
+		return nil, fmt.Errorf("%s: %s: missing", c.getenv("PROXY_CONFIG"), missing)
+	}
+	return fresh, nil
 }
 
 // readConfig reads the configuration. discovery chooses its address, given the file's.
@@ -89,6 +97,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := json.Unmarshal(text, &c.tree); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	delete(c.tree, "known")
 	return c, nil
 }
 
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -234,6 +234,7 @@
 	file    string // its configuration
 	hup     chan os.Signal
 	ended   chan error
+	staff   *ops
 	client  *http.Client
 	ids     atomic.Int64
 }
@@ -256,7 +257,7 @@
 	over.Add(1)
 	go func() {
 		defer over.Done()
-		p.ended <- run(ctx, p.hup, c, slog.New(log), times)
+		p.ended <- run(ctx, p.hup, c, slog.New(log), times, func(o *ops) { p.staff = o })
 	}()
 	t.Cleanup(func() {
 		p.client.CloseIdleConnections()
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beechmill.example/beechmill/balance"
@@ -39,8 +40,7 @@
 // call is a client's request while the host has it. The loop alone touches what follows answered.
 type call struct {
 	message
-	class    int
-	counts   *stats.Class
+	*term
 	tenant   int
 	retry    bool      // its client asked before
 	deadline time.Time // the final answer is due
@@ -58,6 +58,7 @@
 	origin   time.Time
 	upstream *upstream
 	figures  *stats.Figures
+	terms    atomic.Pointer[terms]
 	connect  time.Duration // for a connection to come up
 	ready    chan struct{} // closed once servers are known
 
@@ -93,6 +94,11 @@
 	if h.balancer, err = balance.New(c.Settings, h); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	places := make([]int, len(c.Settings.Classes))
+	for i := range places {
+		places[i] = i
+	}
+	h.terms.Store(newTerms(c.Settings, c.Names, places, h.figures))
 	if len(c.Known.Targets) > 0 {
 		h.rev = c.Known.Rev
 	}
@@ -160,8 +166,8 @@
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
-	h.balancer.Request(h.now, balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant,
-		Within: c.deadline.Sub(h.origin) - h.now, Retry: c.retry})
+	h.balancer.Request(h.now, balance.Request{ID: c.number, Class: c.place, Tenant: c.tenant,
+		Within: c.deadline.Sub(h.origin) - h.now, Retry: c.retry, Terms: &c.Class})
 }
 
 // abandon ends a request that nobody waits for any more, or that is overdue.
@@ -170,7 +176,7 @@
 		return
 	}
 	if overdue {
-		h.log.Warn("request overdue", "class", c.class)
+		h.log.Warn("request overdue", "class", c.Name)
 	}
 	h.answer(c, answer{kind: failed})
 	h.balancer.ClientGone(h.now, c.number)
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -24,10 +24,10 @@
 // pool holds the connections to the servers, one request at a time on each. http.Transport is not used: it may put a
 // connection back with bytes behind the answer, and take them for the answer to the next request.
 type pool struct {
-	dialer net.Dialer
-	rest   time.Duration // an idle connection is kept
-	most   int           // connections open at once, over all servers
-	large  chan struct{} // has one for each large body that is being read
+	connect atomic.Int64  // nanoseconds that a connection may take to come up
+	rest    atomic.Int64  // and that an idle one is kept
+	most    int           // connections open at once, over all servers
+	large   chan struct{} // has one for each large body that is being read
 
 	mu    sync.Mutex
 	open  int
@@ -62,11 +62,13 @@
 // largePerMB is the share of the memory in MB that the largest bodies may take while they are read.
 const largePerMB = 8
 
-func newPool(connect, rest time.Duration, most, memoryMB int) *pool {
-	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, rest: rest, most: most, idle: list.New(),
-		large: make(chan struct{}, max(memoryMB/largePerMB, 1))}
+func newPool(most, memoryMB int) *pool {
+	return &pool{most: most, idle: list.New(), large: make(chan struct{}, max(memoryMB/largePerMB, 1))}
 }
 
+// kept is how long an idle connection is kept.
+func (p *pool) kept() time.Duration { return time.Duration(p.rest.Load()) }
+
 // take returns a connection to a server, an idle one if there is a good one. Of these it takes the longest idle: what
 // a server still has to say on it has had the most time to come.
 func (p *pool) take(ctx context.Context, to *target) (*serverConn, error) {
@@ -74,7 +76,7 @@
 	for len(to.idle) > 0 {
 		c := to.idle[0]
 		p.unlist(c)
-		if time.Since(c.since) < p.rest && c.quiet() {
+		if time.Since(c.since) < p.kept() && c.quiet() {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -101,7 +103,8 @@
 }
 
 func (p *pool) dial(ctx context.Context, to *target) (*serverConn, error) {
-	inner, err := p.dialer.DialContext(ctx, "tcp", to.address)
+	dialer := net.Dialer{Timeout: time.Duration(p.connect.Load()), KeepAlive: -1}
+	inner, err := dialer.DialContext(ctx, "tcp", to.address)
 	if err != nil {
 		return nil, err
 	}
@@ -128,7 +131,7 @@
 	c.of.idle = append(c.of.idle, c)
 	c.place = p.idle.PushBack(c)
 	if p.sweep == nil {
-		p.sweep = time.AfterFunc(p.rest, p.expire)
+		p.sweep = time.AfterFunc(p.kept(), p.expire)
 	}
 }
 
@@ -139,7 +142,7 @@
 	defer p.mu.Unlock()
 	for front := p.idle.Front(); front != nil; front = p.idle.Front() {
 		c := front.Value.(*serverConn)
-		if left := p.rest - time.Since(c.since); left > 0 {
+		if left := p.kept() - time.Since(c.since); left > 0 {
 			p.sweep = time.AfterFunc(left, p.expire)
 			return
 		}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -24,15 +24,35 @@
 // watch is one call of discovery.
 type watch struct{ cancel context.CancelFunc }
 
-// reload reads the configuration again and moves to the discovery that it names.
-func (h *host) reload(c *Config) {
+// reload reads the configuration again, takes its settings and moves to the discovery that it names. It returns the
+// configuration that is in use then: a file with any fault is turned down whole.
+func (h *host) reload(ctx context.Context, c *Config) *Config {
 	fresh, err := c.reload()
+	if err == nil {
+		if asked := h.ask(ctx, func() { err = h.configure(fresh) }); asked != nil {
+			return c // the end
+		}
+	}
 	if err != nil {
+		h.figures.LoadErrors.Add(1)
 		h.log.Error("not reloaded", "err", err)
-		return
+		return c
 	}
+	h.figures.Loads.Add(1)
 	h.log.Info("reloaded", "discovery", fresh.Discovery)
-	h.post(func() { h.moveTo(fresh.Discovery) })
+	return fresh
+}
+
+// configure takes new settings. With an error, nothing has changed.
+func (h *host) configure(c *Config) error {
+	places, err := h.balancer.Configure(c.Settings)
+	if err != nil {
+		return err
+	}
+	h.terms.Store(newTerms(c.Settings, c.Names, places, h.figures))
+	h.upstream.configure(c.Limits)
+	h.moveTo(c.Discovery)
+	return nil
 }
 
 // moveTo has another address tell the list from now on. The old one goes on telling until the new one has answered:
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -30,10 +30,11 @@
 // reads its configuration again.
 func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger) error {
 	return run(stop, reload, c, log, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
-		closeIdle: 300 * time.Millisecond, finish: 3 * time.Second})
+		closeIdle: 300 * time.Millisecond, finish: 3 * time.Second}, func(*ops) {})
 }
 
-func run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, times drainTimes) error {
+// run hands what the staff asks to started once it listens.
+func run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, times drainTimes, started func(*ops)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
 
@@ -68,10 +69,10 @@
 	}()
 	go func() { // also while draining
 		defer loop.Done()
-		for {
+		for inUse := c; ; {
 			select {
 			case <-reload:
-				h.reload(c)
+				inUse = h.reload(ctx, inUse)
 			case <-ctx.Done():
 				return
 			}
@@ -86,6 +87,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(s.conns) }()
 	staff.server.Store(s)
+	started(staff)
 	log.Info("serving", "name", c.Name, "address", inner.Addr().String())
 	select {
 	case err := <-ended:
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -13,7 +12,6 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/stats"
 )
 
 const (
@@ -32,8 +30,6 @@
 	config   *Config
 	ids      *ids
 	conns    *clientConns
-	counts   []*stats.Class // by class
-	again    time.Duration  // when to come back if too many requests are held
 	draining atomic.Bool
 	active   atomic.Int64 // handlers at work
 }
@@ -44,12 +40,7 @@
 	if c.Limits.MostHeld > 0 {
 		b.requests = min(b.requests, c.Limits.MostHeld)
 	}
-	s := &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual)}
-	for _, class := range c.Settings.Classes {
-		s.again = min(cmp.Or(s.again, class.Aim), class.Aim)
-		s.counts = append(s.counts, h.figures.Class(class.Name))
-	}
-	return s
+	return &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual)}
 }
 
 // connKey is the key of a request's *clientConn in its context.
@@ -131,7 +122,7 @@
 	case known:
 		return &fault{http.StatusConflict, "X-Request-ID is in use", ""}
 	case full:
-		answer{kind: refused, after: s.again}.write(w)
+		answer{kind: refused, after: s.host.terms.Load().again}.write(w)
 		c.counts.Dropped.Add(1)
 		return nil
 	}
@@ -195,12 +186,13 @@
 	if c.id == "" {
 		return bad("X-Request-ID is missing")
 	}
-	class, ok := s.config.Names.Class[r.Header.Get("X-Priority-Class")]
+	now := s.host.terms.Load()
+	class, ok := now.classes[r.Header.Get("X-Priority-Class")]
 	if !ok {
 		return bad("X-Priority-Class is missing or unknown")
 	}
 	// Danger: a request sent with less care than its class needs could take effect twice.
-	effect, method := s.config.Settings.Classes[class].Effect, http.MethodPost
+	effect, method := class.Effect, http.MethodPost
 	if effect == balance.Idempotent {
 		method = http.MethodGet
 	}
@@ -219,10 +211,9 @@
 		return bad("X-Timeout-Ms is no number of milliseconds")
 	}
 	// Danger: a client that claims to wait for weeks would be held for weeks.
-	wait := min(time.Duration(ms)*time.Millisecond, s.config.Settings.Classes[class].Deadline)
-	c.class, c.tenant, c.retry = class, -1, r.Header.Get("X-Retried") == "1"
-	c.counts = s.counts[class]
-	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
+	wait := min(time.Duration(ms)*time.Millisecond, class.Deadline)
+	c.term, c.tenant, c.retry = class, -1, r.Header.Get("X-Retried") == "1"
+	if tenant, ok := now.tenants[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
 	}
 	return c, wait, nil
--- /dev/null
+++ b/internal/sidecar/settings_test.go
@@ -0,0 +1,234 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechmill.example/beechmill/internal/console"
+)
+
+// hangup writes a configuration, has it read, and waits until one more was taken or turned down.
+func (p *program) hangup(text string) {
+	p.t.Helper()
+	f := p.staff.figures
+	before := f.Loads.Load() + f.LoadErrors.Load()
+	write(p.t, p.file, text)
+	p.hup <- syscall.SIGHUP
+	for end := time.Now().Add(patience); f.Loads.Load()+f.LoadErrors.Load() == before; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("no reload within %v", patience)
+		}
+	}
+}
+
+// figure reads one figure as the staff does.
+func (p *program) figure(name string) string {
+	p.t.Helper()
+	text, err := p.staff.Figures(context.Background())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "sidecar."+name+"="); ok {
+			return value
+		}
+	}
+	return "none"
+}
+
+func (p *program) figuresAre(want ...string) {
+	p.t.Helper()
+	for i := 0; i < len(want); i += 2 {
+		if got := p.figure(want[i]); got != want[i+1] {
+			p.t.Errorf("%s is %s, want %s", want[i], got, want[i+1])
+		}
+	}
+}
+
+// TestBadFilesAreTurnedDown reloads files with one fault each. Each would also move discovery and drop a class: nothing
+// of it may be used.
+func TestBadFilesAreTurnedDown(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	d, decoy := startRegistry(t), startRegistry(t)
+	good := configText(d.address, serving(1, b), testSettings)
+	p := start(t, good)
+	within(t, d.watches, "watch")
+	fresh := strings.Replace(strings.Replace(good, d.address, decoy.address, 1), `"name":"pay"`, `"name":"tip"`, 1)
+	for i, tt := range []struct{ name, old, new string }{
+		{"empty", fresh, ""},
+		{"white space", fresh, "\n"},
+		{"cut short", fresh, fresh[:len(fresh)/2]},
+		{"a byte short", fresh, fresh[:len(fresh)-1]},
+		{"text behind it", fresh, fresh + "}"},
+		{"no settings", `"settings":`, `"other":`},
+		{"no discovery", `"discovery":"127`, `"other":"127`},
+		{"no seed", `"seed":`, `"other":`},
+		{"no limits", `"limits":{"cores"`, `"other":{"cores"`},
+		{"a limit missing", `"cores":1.0,`, ``},
+		{"no number of attempts", `"try_limit":3,`, ``},
+		{"attempts null", `"try_limit":3`, `"try_limit":null`},
+		{"no attempts", `"try_limit":3`, `"try_limit":0`},
+		{"attempts below 0", `"try_limit":3`, `"try_limit":-1`},
+		{"attempts a string", `"try_limit":3`, `"try_limit":"3"`},
+		{"attempts true", `"try_limit":3`, `"try_limit":true`},
+		{"attempts a part", `"try_limit":3`, `"try_limit":2.5`},
+		{"attempts overflow", `"try_limit":3`, `"try_limit":1e999`},
+		{"attempts NaN", `"try_limit":3`, `"try_limit":NaN`},
+		{"attempts a list", `"try_limit":3`, `"try_limit":[3]`},
+		{"no classes", `"request_classes":[`, `"request_classes":[],"other":[`},
+		{"classes no list", `"request_classes":[`, `"request_classes":{},"other":[`},
+		{"a class without an effect", `"effect":"idempotent",`, ``},
+		{"an unknown effect", `"effect":"idempotent"`, `"effect":"harmless"`},
+		{"a class without a window", `"window_s":60.0`, `"other":60.0`},
+		{"a class twice", `"name":"book"`, `"name":"read"`},
+		{"no deadline", `"deadline_s":60.0,"credit":10.0`, `"credit":10.0`},
+		{"a deadline of 0", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":0,"credit":10.0`},
+		{"a deadline below 0", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":-60.0,"credit":10.0`},
+		{"a deadline as a string", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":"60.0","credit":10.0`},
+		{"a deadline null", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":null,"credit":10.0`},
+		{"a deadline NaN", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":"NaN","credit":10.0`},
+		{"a deadline that overflows", `"deadline_s":60.0,"credit":10.0`, `"deadline_s":1e400,"credit":10.0`},
+	} {
+		bad := strings.Replace(fresh, tt.old, tt.new, 1)
+		if bad == fresh {
+			t.Fatalf("%s: nothing is changed", tt.name)
+		}
+		p.hangup(bad)
+		if errors := p.staff.figures.LoadErrors.Load(); errors != int64(i+1) {
+			t.Fatalf("%s: %d files turned down, want %d", tt.name, errors, i+1)
+		}
+	}
+	if g := p.ask("pay"); g.status != 200 || len(decoy.watches) != 0 {
+		t.Errorf("answer %+v, %d watches at the address of a bad file", g, len(decoy.watches))
+	}
+	p.figuresAre("loads", "0", "load_errors", "33")
+	p.hangup(fresh)
+	within(t, decoy.watches, "watch at the address of the good file")
+	p.figuresAre("loads", "1", "load_errors", "33")
+}
+
+// TestClassesComeAndGo has a class dropped, added, changed, and added again, with one of its requests open over all
+// that. Danger: an open request that is repeated by the new class's terms takes effect twice.
+func TestClassesComeAndGo(t *testing.T) {
+	gate := make(chan bool)
+	var pays atomic.Int64
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Method == http.MethodPost {
+			pays.Add(1)
+			<-gate
+			return hangUp(c, r, body)
+		}
+		return say(200, "", "ok")(c, r, body)
+	})
+	d := startRegistry(t)
+	old := configText(d.address, serving(1, b, b), testSettings)
+	p := start(t, old)
+	held := make(chan gotten, 1)
+	go func() { held <- p.do(p.request(context.Background(), "pay", "50000")) }()
+	within(t, b.came, "request")
+	p.figuresAre("in_progress", "1", "known_servers", "2")
+
+	dropped := strings.Replace(old, `"name":"pay"`, `"name":"tip"`, 1)
+	p.hangup(dropped)
+	if g := p.ask("pay"); g.status != http.StatusBadRequest {
+		t.Errorf("a dropped class got %+v", g)
+	}
+	// Added again, it may be repeated now.
+	changed := strings.Replace(dropped, `"name":"read"`, `"name":"pay"`, 1)
+	p.hangup(changed)
+	if g := p.do(p.safe("pay")); g.status != 200 {
+		t.Errorf("the class with its new effect got %+v", g)
+	}
+	close(gate)
+	if g := within(t, held, "answer"); g.status != http.StatusBadGateway || pays.Load() != 1 {
+		t.Errorf("the open request got %+v after %d attempts, want a failure after 1", g, pays.Load())
+	}
+	p.figuresAre("passed.pay", "1", "bad_gateway.pay", "1", "in_progress", "0", "passed.read", "0", "passed.tip", "0",
+		"upstream_tries", "2", "loads", "2")
+	p.hangup(old)
+	if g := p.do(p.safe("read")); g.status != 200 {
+		t.Errorf("the class added again got %+v", g)
+	}
+}
+
+// safe makes a request of a class whose requests may be repeated.
+func (p *program) safe(class string) *http.Request {
+	r := p.request(context.Background(), "read", "50000")
+	r.Header.Set("X-Priority-Class", class)
+	return r
+}
+
+// TestTakenOutByCall takes a server out by a call, over a list and a reload, and puts it back.
+func TestTakenOutByCall(t *testing.T) {
+	one, two := startBackend(t, say(200, "", "one")), startBackend(t, say(200, "", "two"))
+	d := startRegistry(t)
+	text := configText(d.address, serving(1, one, two), testSettings)
+	p := start(t, text)
+	w := within(t, d.watches, "watch")
+	p.until("one")
+	call := func(id string, out bool, want error) {
+		t.Helper()
+		if err := p.staff.TakeOut(context.Background(), id, out, false); err != want {
+			t.Fatalf("call for %s, out %v: %v, want %v", id, out, err, want)
+		}
+	}
+	call("s-9", true, console.ErrUnknown)
+	call("s-0", true, nil)
+	p.figuresAre("known_servers", "2", "skipped_servers", "1")
+	w.lines <- listText(2, false, entry("s-0", one.address, "DRAINING", 0))
+	w.lines <- serving(3, one, two)
+	p.hangup(strings.Replace(text, `"try_limit":3`, `"try_limit":2`, 1))
+	for range 50 {
+		if g := p.ask("read"); g.body != "two" {
+			t.Fatalf("answer %+v while the server is out", g)
+		}
+	}
+	call("s-1", true, nil)
+	if g := p.ask("read"); g.status != http.StatusServiceUnavailable {
+		t.Errorf("answer %+v with all servers out", g)
+	}
+	p.figuresAre("skipped_servers", "2", "dropped.read", "1")
+	call("s-0", false, nil)
+	p.until("one")
+	call("s-1", false, nil)
+	p.figuresAre("skipped_servers", "0")
+}
+
+// TestLacks holds files against the one in use.
+func TestLacks(t *testing.T) {
+	object := func(pairs ...any) map[string]any {
+		o := map[string]any{}
+		for i := 0; i < len(pairs); i += 2 {
+			o[pairs[i].(string)] = pairs[i+1]
+		}
+		return o
+	}
+	inUse := object("a", 1.0, "known", 1.0, "o", object("x", 1.0, "aim_stretch", 1.0), "l",
+		[]any{object("n", "p", "w", 1.0), object("n", "q", "w", 2.0, "extra", 3.0)}, "plain", []any{"x", "y"})
+	for _, tt := range []struct {
+		name  string
+		fresh map[string]any
+		want  string
+	}{
+		{"the same", inUse, ""},
+		{"more, and what may be absent", object("a", 2.0, "b", 1.0, "o", object("x", 2.0), "l", []any{object("n", "z", "w", 1.0)},
+			"plain", []any{}), ""},
+		{"a key", object("o", object("x", 1.0), "l", []any{}, "plain", []any{}), "a"},
+		{"a null", object("a", nil, "o", object("x", 1.0), "l", []any{}, "plain", []any{}), "a"},
+		{"an inner key", object("a", 1.0, "o", object(), "l", []any{}, "plain", []any{}), "o.x"},
+		{"no object", object("a", 1.0, "o", 3.0, "l", []any{}, "plain", []any{}), "o"},
+		{"no list", object("a", 1.0, "o", object("x", 1.0), "l", object(), "plain", []any{}), "l"},
+		{"a key of an entry", object("a", 1.0, "o", object("x", 1.0), "l", []any{object("n", "z", "w", 1.0), object("n", "z")},
+			"plain", []any{}), "l.1.w"},
+	} {
+		if got := lacks("", inUse, tt.fresh); got != tt.want {
+			t.Errorf("%s: %q is missing, want %q", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
+	"beechmill.example/beechmill/internal/wire"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // upstream makes attempts at the servers.
 type upstream struct {
-	within time.Duration // for the rest of an answer that has begun
+	within atomic.Int64 // nanoseconds for the rest of an answer that has begun
 	pool   *pool
 	tries  *atomic.Int64 // written whole
 
@@ -50,10 +51,17 @@
 // newUpstream returns an upstream that counts its tries. How long the network may take to bring a connection up, the
 // rest of an answer that has begun may take too.
 func newUpstream(c *Config, tries *atomic.Int64) *upstream {
-	// Half of the time after which servers close a connection keeps well clear of that.
-	connect, rest := c.Limits.ConnectTimeout, c.Limits.IdleClose/2
-	return &upstream{within: connect, pool: newPool(connect, rest, newBudget(c).upstream, c.MemoryMB), tries: tries,
-		targets: map[string]*target{}, barred: map[string]bool{}}
+	u := &upstream{pool: newPool(newBudget(c).upstream, c.MemoryMB), tries: tries, targets: map[string]*target{},
+		barred: map[string]bool{}}
+	u.configure(c.Limits)
+	return u
+}
+
+// configure takes new limits.
+func (u *upstream) configure(l wire.Limits) {
+	u.within.Store(int64(l.ConnectTimeout))
+	u.pool.connect.Store(int64(l.ConnectTimeout))
+	u.pool.rest.Store(int64(l.IdleClose / 2)) // half of the time after which servers close keeps well clear of it
 }
 
 // bar keeps everything new from a server that is taken out by hand, or lets it go there again. Danger: the staff
@@ -148,7 +156,7 @@
 		return reply{}, false, err
 	}
 	c.more = func() error {
-		if err := c.SetReadDeadline(time.Now().Add(u.within)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(time.Duration(u.within.Load()))); err != nil {
 			return err
 		}
 		return ctx.Err() // if it is over, the deadline of its end was just overwritten
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -30,6 +30,7 @@
 type conf struct {
 	values map[string]string
 	lists  map[string][]string // lists of plain values, where they come unjoined
+	words  map[string]bool     // values that JSON gives as strings, which are no numbers whatever they spell
 	fault  error
 }
 
@@ -54,7 +55,7 @@
 		return 0
 	}
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(f) || math.Abs(f) > 1e12 {
+	if err != nil || c.words[key] || math.IsNaN(f) || math.Abs(f) > 1e12 {
 		c.fail(key, "a number")
 		return 0
 	}
@@ -126,7 +127,7 @@
 
 // SettingsJSON reads the same settings from a nested JSON object, by the same paths and words.
 func SettingsJSON(seed uint64, object []byte) (balance.Settings, *Names, Limits, error) {
-	c := &conf{values: map[string]string{}, lists: map[string][]string{}}
+	c := &conf{values: map[string]string{}, lists: map[string][]string{}, words: map[string]bool{}}
 	d := json.NewDecoder(bytes.NewReader(object))
 	d.UseNumber()
 	var tree map[string]any
@@ -152,6 +153,13 @@
 	return d
 }
 
+// above fails for a number that is not above 0.
+func (c *conf) above(key string) {
+	if c.need(key); c.float(key) <= 0 {
+		c.fail(key, "a number above 0")
+	}
+}
+
 // flatten stores a JSON value under its path, as the text wire spells it.
 func (c *conf) flatten(path string, value any) {
 	switch v := value.(type) {
@@ -167,6 +175,8 @@
 			c.lists[path] = append(c.lists[path], fmt.Sprint(inner))
 		}
 	case nil: // as if absent
+	case string:
+		c.values[path], c.words[path] = v, true
 	default:
 		c.values[path] = fmt.Sprint(v)
 	}
@@ -177,6 +187,7 @@
 	for _, key := range []string{"peers_total", "ordinal", "request_classes.count", "limits.try_limit", "my_zone"} {
 		c.need(key)
 	}
+	c.above("limits.try_limit")
 	s := balance.Settings{
 		Seed: seed, Self: c.integer("ordinal"), Peers: c.integer("peers_total"), Zone: c.values["my_zone"],
 		Zones: c.list("areas"), Kinds: c.list("models"),
@@ -193,6 +204,7 @@
 	names := &Names{Class: map[string]int{}, Tenant: map[string]int{}}
 	for i := range c.count("request_classes.count") {
 		at := "request_classes." + strconv.Itoa(i) + "."
+		c.above(at + "deadline_s")
 		s.Classes = append(s.Classes, balance.Class{
 			Name: c.need(at + "name"),
 			Effect: choose(c, at+"effect", map[string]balance.Effect{"idempotent": balance.Idempotent,
