--- a/balance/state.go
+++ b/balance/state.go
@@ -197,10 +197,10 @@
 	}
 }
 
-// Configure replaces the settings, but for those of the sidecar's place in the deployment: its number, zone and
-// rules. Requests that are open keep their class, and what is known of endpoints stays. It returns where each of
-// the new classes stands from now on, for Request, or an error, and then nothing has changed. A class is known
-// by its name, and one that is dropped keeps its place.
+// Configure replaces the settings, but for those of the sidecar's place in the deployment: its number, zone
+// and rules. Requests that are open keep their class, and what is known of endpoints stays. It returns where
+// each new class stands from now on, for Request, or an error, and then nothing has changed. A class is known by
+// its name, and one that is dropped keeps its place.
 func (b *Balancer) Configure(set Settings) (places []int, err error) {
 	old := b.set
 	set.Seed, set.Self, set.Peers, set.Kinds = old.Seed, old.Self, old.Peers, old.Kinds
@@ -221,7 +221,7 @@
 		case at >= 0:
 			classes[at], dropped[at] = c, false
 		case len(classes) >= mostClasses:
-			return nil, fmt.Errorf("balance: class %d, %q: more than %d in this process's life", i, c.Name, mostClasses)
+			return nil, fmt.Errorf("balance: class %d, %q: more than %d so far", i, c.Name, mostClasses)
 		default:
 			at = len(classes)
 			classes, dropped = append(classes, c), append(dropped, false)
