Replace the process without losing requests: shared address, steering, state in TMPDIR

Cause: a second process could not listen beside the first and exited. Both share the address; new connections stay with the old process until it is told to stop, then go to the new one; servers out by hand and calls of the staff bind both.

--- a/balance/state.go
+++ b/balance/state.go
@@ -199,8 +199,8 @@
 
 // Configure replaces the settings, but for those of the sidecar's place in the deployment: its number, zone
 // and rules. Requests that are open keep their class, and what is known of endpoints stays. It returns where
-// each new class stands from now on, for Request, or an error, and then nothing has changed. A class is known by
-// its name, and one that is dropped keeps its place.
+// each new class stands from now on, for Request, or an error, and then nothing has changed. A class is known
+// by its name, and one that is dropped keeps its place.
 func (b *Balancer) Configure(set Settings) (places []int, err error) {
 	old := b.set
 	set.Seed, set.Self, set.Peers, set.Kinds = old.Seed, old.Self, old.Peers, old.Kinds
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,270 @@
+// Package handover lets the processes of one sidecar know of each other while one replaces another. Each has two files
+// in a folder of their own: one that it holds a lock on for as long as it lives, and its state. State without a living
+// holder does not count.
+package handover
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Phase is how far a process is.
+type Phase string
+
+// The phases.
+const (
+	Starting Phase = "starting"
+	Ready    Phase = "ready"
+	Draining Phase = "draining"
+)
+
+// State is what a process has the others know.
+type State struct {
+	Name    string    `json:"name"`    // of the sidecar
+	Listen  string    `json:"listen"`  // its address for clients
+	Console string    `json:"console"` // its address for the staff; "": none
+	Started time.Time `json:"started"`
+	Phase   Phase     `json:"phase"`
+	Out     []string  `json:"out"` // servers taken out by hand
+}
+
+const (
+	magic     = "milletramp-handover"
+	version   = 1
+	mostState = 1 << 20 // bytes of a state file
+	mostOut   = 4096
+	mostOther = 16 // processes looked at
+)
+
+// encode writes a state with its version, length and checksum ahead.
+func encode(s State) ([]byte, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	head := fmt.Sprintf("%s %d %d %08x\n", magic, version, len(body), crc32.ChecksumIEEE(body))
+	return append([]byte(head), body...), nil
+}
+
+// decode reads a state. Whatever is torn, of another version, or not of this sidecar is an error.
+func decode(text []byte, name, listen string) (State, error) {
+	head, body, ok := bytes.Cut(text, []byte("\n"))
+	fields := strings.Fields(string(head))
+	if !ok || len(fields) != 4 || fields[0] != magic {
+		return State{}, errors.New("is no state of a sidecar")
+	}
+	if fields[1] != strconv.Itoa(version) {
+		return State{}, fmt.Errorf("is of version %.20q, this process knows %d", fields[1], version)
+	}
+	if fields[2] != strconv.Itoa(len(body)) {
+		return State{}, fmt.Errorf("has %d bytes, its head says %.20q", len(body), fields[2])
+	}
+	if sum := fmt.Sprintf("%08x", crc32.ChecksumIEEE(body)); sum != fields[3] {
+		return State{}, fmt.Errorf("has the checksum %s, its head says %.20q", sum, fields[3])
+	}
+	var s State
+	if err := json.Unmarshal(body, &s); err != nil {
+		return State{}, err
+	}
+	switch {
+	case s.Name != name || s.Listen != listen:
+		return State{}, fmt.Errorf("is of sidecar %.40q at %.40q", s.Name, s.Listen)
+	case s.Phase != Starting && s.Phase != Ready && s.Phase != Draining:
+		return State{}, fmt.Errorf("has the unknown phase %.40q", s.Phase)
+	case len(s.Out) > mostOut:
+		return State{}, fmt.Errorf("names %d servers, %d at most", len(s.Out), mostOut)
+	}
+	return s, nil
+}
+
+// Member is this process's place among those of its sidecar. A nil one knows of no other.
+type Member struct {
+	dir  string
+	id   string // of this process's files
+	held *os.File
+	log  *slog.Logger
+
+	mu    sync.Mutex
+	state State
+}
+
+const (
+	lockEnd  = ".lock"
+	stateEnd = ".state"
+)
+
+// Join makes this process known in a folder below dir, which the processes of the sidecar share.
+func Join(dir string, s State, log *slog.Logger) (*Member, error) {
+	sum := crc32.ChecksumIEEE([]byte(s.Name + "\x00" + s.Listen))
+	m := &Member{dir: filepath.Join(dir, fmt.Sprintf("milletramp-%08x", sum)), log: log, state: s,
+		id: fmt.Sprintf("%d-%d", os.Getpid(), s.Started.UnixNano())}
+	if err := os.MkdirAll(m.dir, 0o700); err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	// Danger: another process that finds the file before its lock takes it for a dead one's. So it gets its name last.
+	held, err := os.OpenFile(m.file(".new"), os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	m.held = held
+	if err := syscall.Flock(int(held.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Join(fmt.Errorf("handover: lock: %w", err), m.Leave())
+	}
+	if err := os.Rename(m.file(".new"), m.file(lockEnd)); err != nil {
+		return nil, errors.Join(fmt.Errorf("handover: %w", err), m.Leave())
+	}
+	if err := m.write(); err != nil {
+		return nil, errors.Join(err, m.Leave())
+	}
+	return m, nil
+}
+
+func (m *Member) file(end string) string { return filepath.Join(m.dir, m.id+end) }
+
+// Update changes this process's state. Others see it once this has returned.
+func (m *Member) Update(change func(*State)) error {
+	if m == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(&m.state)
+	return m.write()
+}
+
+// write replaces the state file. A reader sees the former or the new one.
+func (m *Member) write() error {
+	text, err := encode(m.state)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if err := os.WriteFile(m.file(".new"), text, 0o600); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	if err := os.Rename(m.file(".new"), m.file(stateEnd)); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	return nil
+}
+
+// Leave withdraws this process.
+func (m *Member) Leave() error {
+	if m == nil {
+		return nil
+	}
+	var errs []error
+	for _, end := range []string{".new", stateEnd, lockEnd} {
+		if err := os.Remove(m.file(end)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(append(errs, m.held.Close())...)
+}
+
+// Changed tells a number that is another one after a process has come, left or changed its state.
+func (m *Member) Changed() int64 {
+	if m == nil {
+		return 0
+	}
+	info, err := os.Stat(m.dir)
+	if err != nil {
+		return -1
+	}
+	return info.ModTime().UnixNano()
+}
+
+// Others returns the states of the other processes that live, the oldest first. What dead ones left is removed, with a
+// line that says so; what cannot be believed is passed over, with its reason.
+func (m *Member) Others() []State {
+	if m == nil {
+		return nil
+	}
+	entries, err := os.ReadDir(m.dir)
+	if err != nil {
+		m.log.Warn("handover", "err", err)
+		return nil
+	}
+	var others []State
+	for _, e := range entries {
+		id, ok := strings.CutSuffix(e.Name(), lockEnd)
+		if !ok || id == m.id || len(others) == mostOther {
+			continue
+		}
+		if alive, err := lives(filepath.Join(m.dir, e.Name())); err != nil {
+			m.log.Warn("handover", "err", err)
+			continue
+		} else if !alive {
+			m.log.Info("handover: dropped what a process left that has ended", "process", id)
+			for _, end := range []string{".new", stateEnd, lockEnd} {
+				_ = os.Remove(filepath.Join(m.dir, id+end)) // another process may have been quicker
+			}
+			continue
+		}
+		s, err := read(filepath.Join(m.dir, id+stateEnd), m.state.Name, m.state.Listen)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // it has only just begun, and will look for this process
+		}
+		if err != nil {
+			m.log.Warn("handover: dropped", "err", err)
+			continue
+		}
+		others = append(others, s)
+	}
+	slices.SortFunc(others, func(a, b State) int { return cmp.Compare(a.Started.UnixNano(), b.Started.UnixNano()) })
+	return others
+}
+
+// read reads a state file.
+func read(path, name, listen string) (State, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return State{}, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, mostState+1))
+	if err != nil {
+		return State{}, err
+	}
+	if len(text) > mostState {
+		return State{}, fmt.Errorf("%s has more than %d bytes", path, mostState)
+	}
+	s, err := decode(text, name, listen)
+	if err != nil {
+		return State{}, fmt.Errorf("%s %w", path, err)
+	}
+	return s, nil
+}
+
+// lives tells whether a process holds the lock of a file.
+func lives(path string) (bool, error) {
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	switch err := syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB); {
+	case errors.Is(err, syscall.EWOULDBLOCK):
+		return true, nil
+	case err != nil:
+		return false, fmt.Errorf("%s: lock: %w", path, err)
+	}
+	return false, nil
+}
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -16,10 +16,10 @@
 // request for the longest time is closed. Danger: clients that hoard connections would take every descriptor.
 type clientConns struct {
 	net.Listener
-	most  int
-	usual int // connections that clients hold, from which on each answer ends its connection
 
 	mu    sync.Mutex
+	most  int
+	usual int // connections that clients hold, from which on each answer ends its connection
 	open  int
 	used  int           // of these, that have brought a request
 	idle  *list.List    // of *clientConn without a request, the longest idle first
@@ -39,6 +39,21 @@
 	return &clientConns{Listener: l, most: most, usual: usual, idle: list.New(), freed: make(chan struct{}, 1)}
 }
 
+// setMost changes how many connections there may be, and from how many on answers end theirs.
+func (l *clientConns) setMost(most, usual int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most, l.usual = most, usual
+	l.free()
+}
+
+// held is how many connections are open.
+func (l *clientConns) held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 // Accept implements net.Listener.
 func (l *clientConns) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -61,6 +61,7 @@
 	terms    atomic.Pointer[terms]
 	connect  time.Duration // for a connection to come up
 	ready    chan struct{} // closed once servers are known
+	heard    chan struct{} // closed once discovery has told
 
 	mu    sync.Mutex
 	queue []event
@@ -74,6 +75,7 @@
 	calls    map[balance.RequestID]*call
 	rev      int64 // of the list in hand; -1: none
 	isReady  bool
+	hasHeard bool
 	watches  watches
 }
 
@@ -85,7 +87,7 @@
 
 // newHost returns a host whose attempts and watches end with ctx.
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
-	h := &host{log: log, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
+	h := &host{log: log, origin: time.Now().Add(-originAge), ready: make(chan struct{}), heard: make(chan struct{}), wake: make(chan struct{}, 1),
 		figures: &stats.Figures{}, connect: c.Limits.ConnectTimeout,
 		calls: map[balance.RequestID]*call{}, rev: -1, ctx: ctx, watches: watches{address: c.Discovery}}
 	h.upstream = newUpstream(c, &h.figures.Tries)
@@ -277,6 +279,10 @@
 			Size: t.Size, Started: h.started(t)})
 	}
 	h.balancer.Endpoints(h.now, kind, entries)
+	if !h.hasHeard && kind != balance.ListRemembered {
+		h.hasHeard = true
+		close(h.heard)
+	}
 	if !h.isReady && (kind != balance.ListRemembered || len(entries) > 0) {
 		h.isReady = true
 		close(h.ready)
--- a/internal/sidecar/ids.go
+++ b/internal/sidecar/ids.go
@@ -40,6 +40,13 @@
 	return known, full
 }
 
+// setMost changes how many requests may be in hand.
+func (i *ids) setMost(most int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.most = most
+}
+
 // end lets go of a request.
 func (i *ids) end(id string) {
 	i.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/listen.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// listenShared listens at an address that the sidecar's next process can listen at too.
+func listenShared(address string, log *slog.Logger) (*net.TCPListener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		if failed != nil { // where it is not to be had, only an upgrade is not
+			log.Warn("the address cannot be shared with a next process", "err", failed)
+		}
+		return err
+	}}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l.(*net.TCPListener), nil
+}
+
+// The places of listeners at a shared address are in the order in which they came; one that closes makes room.
+const (
+	oldest = 0
+	second = 1
+)
+
+// steer has all new connections go to the listener at a place among those that share l's address. Where there is none at
+// that place, the kernel spreads them.
+func steer(l *net.TCPListener, place uint32) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("steer: %w", err)
+	}
+	give := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: place}}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+			&unix.SockFprog{Len: uint16(len(give)), Filter: &give[0]})
+	})
+	if err := errors.Join(err, failed); err != nil {
+		return fmt.Errorf("steer: %w", err)
+	}
+	return nil
+}
+
+// drainListener goes on accepting for some time after it is told to stop.
+type drainListener struct {
+	*net.TCPListener
+	quiet  time.Duration
+	rounds int  // of looking for connections left waiting; 0: not yet
+	taken  bool // one in this round
+}
+
+// mostRounds bounds how long connections that keep coming hold the end up.
+const mostRounds = 8
+
+// drain has Accept go on for some time, and end once no connection is left waiting.
+func (l *drainListener) drain(atLeast time.Duration) error {
+	return l.SetDeadline(time.Now().Add(atLeast))
+}
+
+// Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
+// resets them, so the end comes only after a round in which none was found.
+func (l *drainListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			l.taken = true
+			return c, err
+		}
+		if l.rounds > 0 && !l.taken || l.rounds == mostRounds {
+			return nil, net.ErrClosed
+		}
+		l.rounds, l.taken = l.rounds+1, false
+		if err := l.SetDeadline(time.Now().Add(l.quiet)); err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -14,7 +14,9 @@
 type ops struct {
 	host    *host
 	figures *stats.Figures
+	family  *family
 	server  atomic.Pointer[server] // nil: does not listen yet
+	told    atomic.Bool            // other processes can see that this one is ready
 }
 
 // Ready implements console.Sidecar.
@@ -28,10 +30,13 @@
 	}
 	select {
 	case <-o.host.ready:
-		return true, ""
 	default:
 		return false, "no list of servers yet"
 	}
+	if !o.told.Load() {
+		return false, "starting"
+	}
+	return true, ""
 }
 
 // Figures implements console.Sidecar.
@@ -49,12 +54,32 @@
 	return text.Bytes(), err
 }
 
-// TakeOut implements console.Sidecar.
-func (o *ops) TakeOut(ctx context.Context, id string, out, _ bool) error {
+// TakeOut implements console.Sidecar. In an upgrade it binds both processes before it returns. Danger: one that is just
+// starting looks at what is written down, and one that has started is told; what is written first and told then misses
+// neither.
+func (o *ops) TakeOut(ctx context.Context, id string, out, passed bool) error {
 	known := false
 	if err := o.host.ask(ctx, func() { known = o.host.takeOut(id, out) }); err != nil {
 		return err
 	}
+	if passed && !known && out { // the other process has it, and the list here is about to
+		return o.handOut(ctx, map[string]bool{id: true})
+	}
+	if known {
+		if err := o.publish(ctx); err != nil {
+			return err
+		}
+	}
+	if !passed {
+		elsewhere, err := o.family.tell(ctx, id, out)
+		if err != nil {
+			return err
+		}
+		if elsewhere && !known && out {
+			return o.handOut(ctx, map[string]bool{id: true})
+		}
+		known = known || elsewhere
+	}
 	if !known {
 		return console.ErrUnknown
 	}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -26,10 +26,10 @@
 type pool struct {
 	connect atomic.Int64  // nanoseconds that a connection may take to come up
 	rest    atomic.Int64  // and that an idle one is kept
-	most    int           // connections open at once, over all servers
 	large   chan struct{} // has one for each large body that is being read
 
 	mu    sync.Mutex
+	most  int // connections open at once, over all servers
 	open  int
 	idle  *list.List // of *serverConn, over all servers, the longest idle first
 	sweep *time.Timer
@@ -118,12 +118,24 @@
 	return &serverConn{Conn: inner, raw: raw, of: to, in: in, text: textproto.NewReader(in), limit: limit, pool: p}, nil
 }
 
+// setMost changes how many connections may be open. Idle ones beyond that are closed at once, others as they end.
+func (p *pool) setMost(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for front := p.idle.Front(); p.open > p.most && front != nil; front = p.idle.Front() {
+		c := front.Value.(*serverConn)
+		p.unlist(c)
+		p.end(c)
+	}
+}
+
 // put takes a connection back once its request is over. clean says that the whole answer was read, and nothing else.
 func (p *pool) put(c *serverConn, clean bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Danger: a connection to a former process or address swallows the next request.
-	if !clean || c.of.gone {
+	if !clean || c.of.gone || p.open > p.most {
 		p.end(c)
 		return
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -14,6 +13,7 @@
 	"time"
 
 	"beechmill.example/beechmill/internal/console"
+	"beechmill.example/beechmill/internal/handover"
 )
 
 const memoryShare = 0.7 // of the limit that the heap may grow to
@@ -23,6 +23,9 @@
 	accept    time.Duration // new connections go on coming for 0.4 s after the restart is announced
 	quiet     time.Duration // and then none may be left waiting
 	closeIdle time.Duration // while a client that was about to use one can still open another
+	listen    time.Duration // the list may take, beside another process
+	steered   time.Duration // where new connections go to the next process, some are still on their way
+	idle      time.Duration // and clients' connections that idle are left to end by themselves
 	finish    time.Duration // after the last connection was taken, before the process is killed
 }
 
@@ -30,7 +33,8 @@
 // reads its configuration again.
 func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger) error {
 	return run(stop, reload, c, log, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
-		closeIdle: 300 * time.Millisecond, finish: 3 * time.Second}, func(*ops) {})
+		closeIdle: 300 * time.Millisecond, listen: time.Second, steered: 50 * time.Millisecond,
+		idle: idleWithin + 200*time.Millisecond, finish: 3 * time.Second}, func(*ops) {})
 }
 
 // run hands what the staff asks to started once it listens.
@@ -38,29 +42,12 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
 
-	address, err := net.ResolveTCPAddr("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	inner, err := net.ListenTCP("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	defer inner.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h, err := newHost(ctx, c, log)
 	if err != nil {
 		return err
 	}
-	staff := &ops{host: h, figures: h.figures}
-	if c.Console != "" {
-		stopConsole, err := startConsole(c.Console, staff, log)
-		if err != nil {
-			return err
-		}
-		defer stopConsole()
-	}
 	var loop sync.WaitGroup
 	loop.Add(2)
 	go func() {
@@ -81,29 +68,102 @@
 	defer loop.Wait()
 	defer cancel()
 
+	// Other processes may call the console as soon as they see this one, so it listens first.
+	var calls net.Listener
+	if c.Console != "" {
+		if calls, err = net.Listen("tcp", c.Console); err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		defer calls.Close()
+	}
+	staff := &ops{host: h, figures: h.figures, family: joinFamily(c, log)}
+	defer func() { _ = staff.family.member.Leave() }() // what is left binds nobody
+	if calls != nil {
+		defer startConsole(calls, staff, log)()
+	}
+	beside := len(staff.family.member.Others()) > 0
+	if err := staff.join(ctx); err != nil {
+		return err
+	}
+	if beside { // the list that the platform wrote down is older than what the other process goes by
+		select {
+		case <-h.heard:
+		case <-time.After(times.listen):
+		case <-stop.Done():
+			return nil
+		}
+	}
+	inner, err := listenShared(c.Listen, log)
+	if err != nil {
+		return err
+	}
+	defer inner.Close()
+	if beside { // Danger: should this process die before it is ready, what it has taken is lost.
+		if err := steer(inner, oldest); err != nil {
+			log.Warn("new connections come to both processes", "err", err)
+		}
+	}
 	l := &drainListener{TCPListener: inner, quiet: times.quiet}
 	s := newServer(c, h, l)
+	loop.Add(1)
+	go func() {
+		defer loop.Done()
+		staff.family.follow(ctx, func(shares int) {
+			log.Info("processes of this sidecar", "count", shares)
+			s.share(shares)
+		})
+	}()
+	if beside {
+		staff.family.shares.Store(2)
+		s.share(2)
+	}
 	web := s.httpServer(log)
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(s.conns) }()
 	staff.server.Store(s)
 	started(staff)
 	log.Info("serving", "name", c.Name, "address", inner.Addr().String())
-	select {
-	case err := <-ended:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
+	for waiting := h.ready; ; {
+		select {
+		case err := <-ended:
+			return fmt.Errorf("serve: %w", err)
+		case <-waiting:
+			if err := staff.family.member.Update(func(s *handover.State) { s.Phase = handover.Ready }); err != nil {
+				log.Warn("the next process cannot take over from this one", "err", err)
+			}
+			staff.told.Store(true)
+			waiting = nil
+			continue
+		case <-stop.Done():
+		}
+		break
 	}
 	// Danger: connections that are waiting when the listener closes are reset, and what they sent is lost. So this
 	// goes on accepting and serving first, and only asks clients to close.
-	log.Info("draining")
-	s.draining.Store(true)
+	succeeded := staff.family.successor()
+	log.Info("draining", "succeeded", succeeded)
+	s.drain(c.Settings)
+	if err := staff.family.member.Update(func(s *handover.State) { s.Phase = handover.Draining }); err != nil {
+		log.Warn("the next process does not know that this one drains", "err", err)
+	}
+	if succeeded {
+		times.closeIdle = times.idle
+		if err := steer(inner, second); err != nil {
+			log.Warn("new connections come to both processes", "err", err)
+		} else {
+			times.accept = times.steered
+		}
+	}
 	idle := time.AfterFunc(times.closeIdle, func() { web.SetKeepAlivesEnabled(false) })
 	defer idle.Stop()
 	if err := l.drain(times.accept); err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
 	<-ended
+	// Danger: a connection that is closed as it idles may cross a request. Clients end theirs once they have an answer.
+	for end := time.Now().Add(times.closeIdle); succeeded && s.conns.held() > 0 && time.Now().Before(end); {
+		time.Sleep(times.quiet)
+	}
 	finish, done := context.WithTimeout(context.Background(), times.finish)
 	defer done()
 	if err := web.Shutdown(finish); err != nil {
@@ -119,12 +179,8 @@
 	return nil
 }
 
-// startConsole has the console listen, and returns what ends it.
-func startConsole(address string, staff *ops, log *slog.Logger) (stop func(), err error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("console: %w", err)
-	}
+// startConsole answers the calls that come to l, and returns what ends it.
+func startConsole(l net.Listener, staff *ops, log *slog.Logger) (stop func()) {
 	calls := console.New(l, staff, log)
 	var over sync.WaitGroup
 	over.Add(1)
@@ -138,40 +194,5 @@
 	return func() {
 		_ = calls.Close() // ends Serve, which tells
 		over.Wait()
-	}, nil
-}
-
-// drainListener goes on accepting for some time after it is told to stop.
-type drainListener struct {
-	*net.TCPListener
-	quiet  time.Duration
-	rounds int  // of looking for connections left waiting; 0: not yet
-	taken  bool // one in this round
-}
-
-// mostRounds bounds how long connections that keep coming hold the end up.
-const mostRounds = 8
-
-// drain has Accept go on for some time, and end once no connection is left waiting.
-func (l *drainListener) drain(atLeast time.Duration) error {
-	return l.SetDeadline(time.Now().Add(atLeast))
-}
-
-// Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
-// resets them, so the end comes only after a round in which none was found.
-func (l *drainListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.TCPListener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			l.taken = true
-			return c, err
-		}
-		if l.rounds > 0 && !l.taken || l.rounds == mostRounds {
-			return nil, net.ErrClosed
-		}
-		l.rounds, l.taken = l.rounds+1, false
-		if err := l.SetDeadline(time.Now().Add(l.quiet)); err != nil {
-			return nil, err
-		}
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -31,6 +31,7 @@
 	ids      *ids
 	conns    *clientConns
 	draining atomic.Bool
+	ends     atomic.Int64 // when this process may be killed at the earliest, once it drains; in Unix nanoseconds
 	active   atomic.Int64 // handlers at work
 }
 
@@ -43,6 +44,23 @@
 	return &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual)}
 }
 
+// The least time from the word to stop to the kill, on top of the longest deadline, which counts for no more than most.
+const (
+	killAfter    = 700 * time.Millisecond
+	killDeadline = 3 * time.Second
+	killMargin   = 200 * time.Millisecond // for the last answers
+)
+
+// drain has answers end their connections from now on, and requests be answered before this process may be killed.
+func (s *server) drain(set balance.Settings) {
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	s.ends.Store(time.Now().Add(min(longest, killDeadline) + killAfter - killMargin).UnixNano())
+	s.draining.Store(true)
+}
+
 // connKey is the key of a request's *clientConn in its context.
 type connKey struct{}
 
@@ -109,6 +127,11 @@
 		return f
 	}
 	c.deadline = came.Add(wait - answerMargin)
+	if s.draining.Load() {
+		if ends := time.Unix(0, s.ends.Load()); ends.Before(c.deadline) {
+			c.deadline = ends
+		}
+	}
 	var err error
 	if c.body, err = io.ReadAll(r.Body); err != nil {
 		return &fault{http.StatusBadRequest, "body ended early", ""}
