--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -32,31 +32,6 @@
 	return l.(*net.TCPListener), nil
 }
 
-// The places of listeners at a shared address are in the order in which they came; one that closes makes room.
-const (
-	oldest = 0
-	second = 1
-)
-
-// steer has all new connections go to the listener at a place among those that share l's address. Where there is none at
-// that place, the kernel spreads them.
-func steer(l *net.TCPListener, place uint32) error {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return fmt.Errorf("steer: %w", err)
-	}
-	give := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: place}}
-	var failed error
-	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
-			&unix.SockFprog{Len: uint16(len(give)), Filter: &give[0]})
-	})
-	if err := errors.Join(err, failed); err != nil {
-		return fmt.Errorf("steer: %w", err)
-	}
-	return nil
-}
-
 // drainListener goes on accepting for some time after it is told to stop.
 type drainListener struct {
 	*net.TCPListener
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -24,7 +24,6 @@
 	quiet     time.Duration // and then none may be left waiting
 	closeIdle time.Duration // while a client that was about to use one can still open another
 	listen    time.Duration // the list may take, beside another process
-	steered   time.Duration // where new connections go to the next process, some are still on their way
 	idle      time.Duration // and clients' connections that idle are left to end by themselves
 	finish    time.Duration // after the last connection was taken, before the process is killed
 }
@@ -33,7 +32,7 @@
 // reads its configuration again.
 func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger) error {
 	return run(stop, reload, c, log, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
-		closeIdle: 300 * time.Millisecond, listen: time.Second, steered: 50 * time.Millisecond,
+		closeIdle: 300 * time.Millisecond, listen: time.Second,
 		idle: idleWithin + 200*time.Millisecond, finish: 3 * time.Second}, func(*ops) {})
 }
 
@@ -98,11 +97,6 @@
 		return err
 	}
 	defer inner.Close()
-	if beside { // Danger: should this process die before it is ready, what it has taken is lost.
-		if err := steer(inner, oldest); err != nil {
-			log.Warn("new connections come to both processes", "err", err)
-		}
-	}
 	l := &drainListener{TCPListener: inner, quiet: times.quiet}
 	s := newServer(c, h, l)
 	loop.Add(1)
@@ -147,12 +141,7 @@
 		log.Warn("the next process does not know that this one drains", "err", err)
 	}
 	if succeeded {
-		times.closeIdle = times.idle
-		if err := steer(inner, second); err != nil {
-			log.Warn("new connections come to both processes", "err", err)
-		} else {
-			times.accept = times.steered
-		}
+		times.accept, times.closeIdle = 0, times.idle // the next process takes what comes
 	}
 	idle := time.AfterFunc(times.closeIdle, func() { web.SetKeepAlivesEnabled(false) })
 	defer idle.Stop()
