Pass long answers on as they come, and take chunks, slow heads and long bodies from clients

Long answers stream from their first bytes with deadlines for progress; clients' framing is followed strictly by a machine of its own; a body has time by its pace.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -4,22 +4,24 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
-	"net/http/httputil"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"beechmill.example/beechmill/balance"
 )
 
 const (
-	// mostAnswer bounds an answer's body that says its length. Servers are seen to send up to 400 KB, more than is
-	// agreed on.
-	mostAnswer  = 1 << 20
-	piece       = 32 << 10 // of a body, that must come before the next wait
+	mostAnswer  = 64 << 20 // bytes that an answer may say it has; 32 MB are agreed on
 	mostInterim = 8        // 1xx answers ahead of one
-	mostFraming = 16 << 10 // bytes that chunks may take besides the body
+	// holdUntold is how long an answer whose length is not told is held from its first byte on. Danger: passed on sooner, one
+	// that stops is not made good by a repeat; later, a long one is late.
+	holdUntold = 150 * time.Millisecond
 )
 
 // errSpoilt says that a server's answer cannot be read. Its request has run.
@@ -45,7 +47,7 @@
 		return reply{}, false, err
 	}
 	r.outcome = outcomeOf(status, header.Get("X-Not-Processed") == "1")
-	body, err := c.body(header)
+	body, rest, err := c.body(header)
 	switch {
 	case err == nil:
 	case r.outcome == balance.Served:
@@ -53,8 +55,16 @@
 	default: // other answers have said all in their head
 		return r, false, nil
 	}
-	if r.outcome == balance.Served {
-		r.body, r.ctype = body, header.Get("Content-Type")
+	if r.outcome != balance.Served {
+		if rest != nil {
+			return r, false, nil
+		}
+	} else {
+		r.body, r.rest, r.ctype = body, rest, header.Get("Content-Type")
+	}
+	if rest != nil {
+		rest.closes = strings.EqualFold(header.Get("Connection"), "close")
+		return r, false, nil
 	}
 	return r, c.quiet() && !strings.EqualFold(header.Get("Connection"), "close"), nil
 }
@@ -88,57 +98,60 @@
 	return status, http.Header(fields), nil
 }
 
-// body reads the body behind a head.
-func (c *serverConn) body(header http.Header) ([]byte, error) {
+// body reads the body behind a head: all of it, or where it is long or pauses with its length untold, what has come and
+// the rest as a stream.
+func (c *serverConn) body(header http.Header) (whole []byte, rest *stream, err error) {
+	b := &serverBody{c: c, length: -1}
 	lengths, codings := header["Content-Length"], header["Transfer-Encoding"]
+	c.limit.N = math.MaxInt64 // pieces of bodies are bounded, not bodies
 	switch {
 	case len(codings) == 0 && len(lengths) == 1:
 		n, err := strconv.ParseUint(lengths[0], 10, 63)
 		if err != nil || n > mostAnswer {
-			return nil, spoilt("length %.40q", lengths[0])
+			return nil, nil, spoilt("length %.40q", lengths[0])
 		}
-		return c.read(int(n))
+		b.length, b.left = int64(n), int64(n)
 	case len(lengths) == 0 && len(codings) == 1 && strings.EqualFold(codings[0], "chunked"):
-		c.limit.N = mostBody + mostFraming
-		body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), mostBody+1))
-		if err != nil {
-			return nil, c.fault(err)
-		}
-		if len(body) > mostBody {
-			return nil, spoilt("more than %d bytes", mostBody)
-		}
-		if _, err := c.text.ReadMIMEHeader(); err != nil { // trailers, and the empty line behind them
-			return nil, c.fault(err)
-		}
-		return body, nil
+		b.chunks = &chunks{}
+	case len(lengths) == 0 && len(codings) == 0 && strings.EqualFold(header.Get("Connection"), "close"):
+		// Danger: a body that ends with its connection may have been cut off anywhere. It is believed where the server
+		// has said that the connection ends, and then ends it in order.
+	default:
+		return nil, nil, spoilt("lengths %q, codings %q", lengths, codings)
 	}
-	// Danger: a body that ends with its connection may have been cut off anywhere.
-	return nil, spoilt("lengths %q, codings %q", lengths, codings)
+	return c.gather(b)
 }
 
-// read reads a body of n bytes. As long as it goes on coming it may take its time.
-func (c *serverConn) read(n int) ([]byte, error) {
-	if n > mostBody {
-		select { // Danger: many large bodies at once would take all memory.
-		case c.pool.large <- struct{}{}:
-			defer func() { <-c.pool.large }()
-		default:
-			return nil, spoilt("no memory left for %d bytes", n)
-		}
+// gather reads a body until it is whole or is to be passed on.
+func (c *serverConn) gather(b *serverBody) (whole []byte, rest *stream, err error) {
+	long, usual, first := b.length > mostBody, c.pause, time.Time{}
+	if b.length >= 0 && !long {
+		whole = make([]byte, 0, b.length)
 	}
-	c.limit.N = int64(n)
-	body := make([]byte, n)
-	for at := 0; at < n; at += piece {
-		if at > 0 {
-			if err := c.more(); err != nil {
-				return nil, err
-			}
+	for !b.over() {
+		if long && len(whole) > 0 || len(whole) >= mostBody {
+			return whole, &stream{body: b, passed: make(chan bool, 1)}, nil
+		}
+		untold := b.length < 0 && len(whole) > 0
+		if c.pause = usual; untold {
+			c.pause = min(usual, max(time.Until(first.Add(holdUntold)), time.Nanosecond))
 		}
-		if _, err := io.ReadFull(c.in, body[at:min(at+piece, n)]); err != nil {
-			return nil, c.fault(err)
+		if len(whole) == cap(whole) {
+			whole = slices.Grow(whole, 4<<10)
+		}
+		n, err := b.Read(whole[len(whole):min(cap(whole), mostBody)])
+		if whole = whole[:len(whole)+n]; !untold {
+			first = time.Now()
+		}
+		switch {
+		case err == nil || err == io.EOF:
+		case untold && errors.Is(err, os.ErrDeadlineExceeded):
+			return whole, &stream{body: b, passed: make(chan bool, 1)}, nil
+		default:
+			return nil, nil, c.fault(err)
 		}
 	}
-	return body, nil
+	return whole, nil, nil
 }
 
 // fault tells an answer that is spoilt from a connection that broke.
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -1,6 +1,10 @@
 package sidecar
 
-import "beechmill.example/beechmill/internal/console"
+import (
+	"sync"
+
+	"beechmill.example/beechmill/internal/console"
+)
 
 // budget shares out the descriptors that the process may hold. Danger: without any left, accepting fails for all.
 type budget struct {
@@ -13,6 +17,32 @@
 // consoleSockets are set aside for the console: its listener, its callers, and one that is being taken.
 const consoleSockets = console.Connections + 2
 
+// bodyShare is the part of the memory that bodies of clients may take beyond what each may.
+const bodyShare = 4
+
+// room bounds what is held at once, in bytes.
+type room struct {
+	mu   sync.Mutex
+	left int
+}
+
+// take takes n bytes, or nothing and returns false.
+func (r *room) take(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left < n {
+		return false
+	}
+	r.left -= n
+	return true
+}
+
+func (r *room) give(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left += n
+}
+
 // spareSockets are for the listener, discovery's watches, a connection that is about to be closed, and the runtime.
 const spareSockets = 20
 
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -26,9 +26,12 @@
 	freed chan struct{} // has one if a connection was closed or became idle
 }
 
-// clientConn is a connection from a client. Its clientConns' lock guards its fields.
+// clientConn is a connection from a client. Its clientConns' lock guards idle, since, used and closed.
 type clientConn struct {
 	net.Conn
+	came   time.Time
+	frames framing       // of what its reader has got
+	bad    error         // what it sent behind that
 	idle   *list.Element // nil: it has a request, or is closed
 	since  time.Time     // idle since
 	used   bool          // it has brought a request
@@ -61,7 +64,7 @@
 		return nil, err
 	}
 	l.makeRoom()
-	c := &clientConn{Conn: inner}
+	c := &clientConn{Conn: inner, came: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open++
@@ -69,6 +72,21 @@
 	return c, nil
 }
 
+// Read implements net.Conn. What net/http would mend it turns down. The one goroutine that reads at a time owns frames.
+func (c *clientConn) Read(p []byte) (int, error) {
+	if c.bad != nil {
+		return 0, c.bad
+	}
+	n, err := c.Conn.Read(p)
+	if good, bad := c.frames.feed(p[:n]); bad != nil {
+		c.bad = bad
+		if n, err = good, nil; good == 0 {
+			err = bad
+		}
+	}
+	return n, err
+}
+
 // makeRoom waits until there is room for one more connection.
 func (l *clientConns) makeRoom() {
 	for {
--- /dev/null
+++ b/internal/sidecar/framing.go
@@ -0,0 +1,126 @@
+package sidecar
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// errFraming says that a client's message can be read in two ways.
+var errFraming = errors.New("bad framing")
+
+// mostHead is well beyond what net/http takes, so that it has its say first.
+const mostHead = 4 * mostHeader
+
+// framing follows the bytes that a client sends and finds what net/http would mend: a length beside chunks, a length
+// given twice, and folded lines. Danger: whoever else read such a message would see another one. The zero value is at a
+// connection's start.
+type framing struct {
+	inBody bool
+	line   []byte // of a head, as far as it has come
+	size   int    // of the head
+	first  bool   // the head's first line has come
+	length []byte // as given; nil: not
+	coded  bool   // a transfer coding is given
+	left   int64  // of a body with a length
+	chunks *chunks
+}
+
+// feed takes in what has come. good is how much of it comes before the message that is bad.
+func (f *framing) feed(in []byte) (good int, err error) {
+	for at := 0; at < len(in); {
+		var used int
+		switch {
+		case f.inBody && f.chunks != nil:
+			var done bool
+			if _, used, done, err = f.chunks.next(in[at:]); done {
+				f.inBody, f.chunks = false, nil
+			}
+		case f.inBody:
+			used = int(min(f.left, int64(len(in)-at)))
+			f.left -= int64(used)
+			f.inBody = f.left > 0
+		default:
+			used, err = f.head(in[at:])
+		}
+		if err != nil {
+			return good, err
+		}
+		if at += used; f.inBody || f.size == 0 {
+			good = at // up to here nothing is amiss
+		}
+	}
+	return len(in), nil
+}
+
+// head takes in what has come of a head, up to its end.
+func (f *framing) head(in []byte) (used int, err error) {
+	for used < len(in) {
+		end := bytes.IndexByte(in[used:], '\n')
+		piece := in[used:]
+		if end >= 0 {
+			piece = piece[:end+1]
+		}
+		used += len(piece)
+		if f.size += len(piece); f.size > mostHead {
+			return used, fmt.Errorf("%w: a head of more than %d bytes", errFraming, mostHead)
+		}
+		if f.line = append(f.line, piece...); end < 0 {
+			return used, nil
+		}
+		line := bytes.TrimSuffix(f.line[:len(f.line)-1], []byte("\r"))
+		if len(line) == 0 && f.first {
+			return used, f.body()
+		}
+		if err := f.field(line); err != nil {
+			return used, err
+		}
+		f.first, f.line = true, f.line[:0]
+	}
+	return used, nil
+}
+
+// field takes in a line of a head.
+func (f *framing) field(line []byte) error {
+	if !f.first || len(line) == 0 {
+		return nil // what is wrong with it, net/http says
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return fmt.Errorf("%w: a folded line", errFraming)
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimSpace(value)
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		if f.length != nil {
+			return fmt.Errorf("%w: two lengths", errFraming)
+		}
+		f.length = append([]byte{}, value...) // not nil, though it be empty
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		if f.coded || !bytes.EqualFold(value, []byte("chunked")) {
+			return fmt.Errorf("%w: codings other than chunked", errFraming)
+		}
+		f.coded = true
+	}
+	return nil
+}
+
+// body takes in the end of a head.
+func (f *framing) body() error {
+	length, coded := f.length, f.coded
+	*f = framing{line: f.line[:0]}
+	switch {
+	case coded && length != nil:
+		return fmt.Errorf("%w: a length beside chunks", errFraming)
+	case coded:
+		f.inBody, f.chunks = true, &chunks{}
+	case length != nil:
+		n, err := strconv.ParseUint(string(length), 10, 63)
+		if err != nil {
+			return fmt.Errorf("%w: length %.40q", errFraming, length)
+		}
+		f.left, f.inBody = int64(n), n > 0
+	}
+	return nil
+}
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -319,3 +319,15 @@
 }
 
 func (b *backend) count() int { return len(b.came) }
+
+// whole is for attempts whose answers are not long.
+func whole(reply) bool { return false }
+
+// taken takes a long answer, as a client does that is quick enough.
+func taken(r reply) bool {
+	go func() {
+		_, err := io.Copy(io.Discard, r.rest.body)
+		r.rest.end(err == nil)
+	}()
+	return true
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -32,8 +32,9 @@
 // answer is a request's final answer.
 type answer struct {
 	kind  answerKind
-	body  []byte        // served
+	body  []byte        // served: all of it, or what has come
 	ctype string        // served
+	rest  *stream       // served: what is still to come; nil: nothing
 	after time.Duration // refused: when to come back; 0: not said
 }
 
@@ -175,6 +176,15 @@
 // abandon ends a request that nobody waits for any more, or that is overdue.
 func (h *host) abandon(c *call, overdue bool) {
 	if c.over {
+		if !overdue {
+			select {
+			case a := <-c.answered: // nobody takes it any more
+				if a.rest != nil {
+					a.rest.end(false)
+				}
+			default:
+			}
+		}
 		return
 	}
 	if overdue {
@@ -220,12 +230,38 @@
 	c.attempts = append(c.attempts, cancel)
 	c.out++
 	go func() {
-		r := h.upstream.attempt(ctx, endpoint, &c.message)
+		begun := false
+		r := h.upstream.attempt(ctx, endpoint, &c.message, func(r reply) bool {
+			begun = h.begins(c, n, endpoint, sent, r)
+			return begun
+		})
 		cancel()
-		h.post(func() { h.result(c, n, endpoint, sent, r) })
+		if !begun {
+			h.post(func() { h.result(c, n, endpoint, sent, r) })
+		}
 	}()
 }
 
+// begins takes in that a long answer has come in part, and tells whether it is to be passed on. From then on the request
+// has its answer, and the attempt has ended for the Balancer. Danger: of two answers a client would get parts of both.
+func (h *host) begins(c *call, n int, endpoint string, sent balance.Time, r reply) (wins bool) {
+	decided := make(chan bool, 1)
+	h.post(func() {
+		if c.over {
+			decided <- false
+			return
+		}
+		h.result(c, n, endpoint, sent, r)
+		decided <- true
+	})
+	select {
+	case wins = <-decided:
+		return wins
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
 // result takes in how an attempt ended.
 func (h *host) result(c *call, n int, endpoint string, sent balance.Time, r reply) {
 	wins := r.outcome == balance.Served && !c.over
@@ -234,7 +270,7 @@
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
 		Took: h.now - sent, Finished: c.over})
 	if wins { // Danger: a second copy that is not called off before would be sent after the final answer.
-		c.answered <- answer{kind: served, body: r.body, ctype: r.ctype}
+		c.answered <- answer{kind: served, body: r.body, ctype: r.ctype, rest: r.rest}
 	}
 	h.forget(c)
 }
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -24,9 +24,8 @@
 // pool holds the connections to the servers, one request at a time on each. http.Transport is not used: it may put a
 // connection back with bytes behind the answer, and take them for the answer to the next request.
 type pool struct {
-	connect atomic.Int64  // nanoseconds that a connection may take to come up
-	rest    atomic.Int64  // and that an idle one is kept
-	large   chan struct{} // has one for each large body that is being read
+	connect atomic.Int64 // nanoseconds that a connection may take to come up
+	rest    atomic.Int64 // and that an idle one is kept
 
 	mu    sync.Mutex
 	most  int // connections open at once, over all servers
@@ -54,18 +53,16 @@
 	text  *textproto.Reader // of in
 	limit *io.LimitedReader // under in
 	pool  *pool
-	more  func() error  // gives the rest of an answer more time
+	pause time.Duration // that the server may make before its next bytes; 0: any. Of the one who reads.
 	since time.Time     // idle since
-	place *list.Element // in the pool's list; nil: it has a request
-}
-
-// largePerMB is the share of the memory in MB that the largest bodies may take while they are read.
-const largePerMB = 8
 
-func newPool(most, memoryMB int) *pool {
-	return &pool{most: most, idle: list.New(), large: make(chan struct{}, max(memoryMB/largePerMB, 1))}
+	mu      sync.Mutex
+	givenUp bool          // nothing is waited for any more
+	place   *list.Element // in the pool's list; nil: it has a request
 }
 
+func newPool(most int) *pool { return &pool{most: most, idle: list.New()} }
+
 // kept is how long an idle connection is kept.
 func (p *pool) kept() time.Duration { return time.Duration(p.rest.Load()) }
 
@@ -113,9 +110,38 @@
 		_ = inner.Close()
 		return nil, fmt.Errorf("connection: %w", err)
 	}
-	limit := &io.LimitedReader{R: inner}
-	in := bufio.NewReader(limit)
-	return &serverConn{Conn: inner, raw: raw, of: to, in: in, text: textproto.NewReader(in), limit: limit, pool: p}, nil
+	c := &serverConn{Conn: inner, raw: raw, of: to, pool: p}
+	c.limit = &io.LimitedReader{R: c}
+	c.in = bufio.NewReader(c.limit)
+	c.text = textproto.NewReader(c.in)
+	return c, nil
+}
+
+// Read implements net.Conn. Each read has the pause for itself: an answer may take its time as long as it comes.
+func (c *serverConn) Read(p []byte) (int, error) {
+	if c.pause > 0 {
+		if err := c.setPause(); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *serverConn) setPause() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.givenUp { // Danger: the deadline that ends the read would be overwritten.
+		return nil
+	}
+	return c.SetReadDeadline(time.Now().Add(c.pause))
+}
+
+// giveUp ends what is read and written, now and later.
+func (c *serverConn) giveUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.givenUp = true
+	_ = c.SetDeadline(time.Unix(1, 0)) // it fails where the connection is closed
 }
 
 // setMost changes how many connections may be open. Idle ones beyond that are closed at once, others as they end.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -15,10 +17,15 @@
 )
 
 const (
-	// readWithin is how long a client may take to send a request, from the connection's start for the first one.
-	// Danger: a head or a body that never ends would hold its connection for good.
-	readWithin  = 2 * time.Second
-	writeWithin = 2 * time.Second // a client may take to receive an answer
+	// headWithin is how long a client may take to send a head: 2 s are its right. Danger: one that never ends would hold
+	// its connection for good.
+	headWithin = 2300 * time.Millisecond
+	// bodyWithin is how long after a connection's start a body has to begin to keep its pace, and bodyGrace how long after
+	// its head, where that is later. A peer that sends no whole request is owed an end 3 s after it connected.
+	bodyWithin  = 2700 * time.Millisecond
+	bodyGrace   = 400 * time.Millisecond
+	bodyPace    = 48 << 10        // bytes a second that a body comes at least, less than the 64 kB that are a client's right
+	writeWithin = 2 * time.Second // a client may take to receive a short answer, or a piece of a long one
 	// idleWithin is how long a client's connection may idle; clients expect it to stay open for 2 s. Danger: clients that
 	// ask once and keep the connection take, all together, those that others need.
 	idleWithin = 2 * time.Second
@@ -33,6 +40,7 @@
 	draining atomic.Bool
 	ends     atomic.Int64 // when this process may be killed at the earliest, once it drains; in Unix nanoseconds
 	active   atomic.Int64 // handlers at work
+	room     *room        // for what of bodies goes beyond the usual
 }
 
 // newServer returns a server for the connections that l accepts.
@@ -41,7 +49,8 @@
 	if c.Limits.MostHeld > 0 {
 		b.requests = min(b.requests, c.Limits.MostHeld)
 	}
-	return &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual)}
+	return &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual),
+		room: &room{left: c.MemoryMB << 20 / bodyShare}}
 }
 
 // The least time from the word to stop to the kill, on top of the longest deadline, which counts for no more than most.
@@ -66,7 +75,7 @@
 
 // httpServer returns the HTTP server that serves s.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
-	return &http.Server{Handler: s, ReadTimeout: readWithin, IdleTimeout: idleWithin, MaxHeaderBytes: mostHeader,
+	return &http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: mostHeader,
 		ConnState: s.conns.state, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 }
@@ -90,11 +99,7 @@
 
 func (s *server) route(w http.ResponseWriter, r *http.Request, came time.Time) *fault {
 	switch {
-	case len(r.TransferEncoding) > 0:
-		// Danger: net/http drops a Content-Length that comes with it. Whoever goes by that one sees another request
-		// in this one's body. Nothing behind it is read.
-		return &fault{http.StatusLengthRequired, "a body needs a Content-Length", ""}
-	case r.ContentLength > mostBody:
+	case r.ContentLength > mostRequest:
 		return &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
 	case r.URL.Path == "/healthz":
 		return s.health(w, r)
@@ -126,16 +131,20 @@
 	if f != nil {
 		return f
 	}
+	var rest func()
+	if c.body, rest, f = s.body(w, r, came); f != nil {
+		return f
+	}
+	defer rest()
+	if r.ContentLength != 0 {
+		came = time.Now() // the client's time begins with its last byte
+	}
 	c.deadline = came.Add(wait - answerMargin)
 	if s.draining.Load() {
 		if ends := time.Unix(0, s.ends.Load()); ends.Before(c.deadline) {
 			c.deadline = ends
 		}
 	}
-	var err error
-	if c.body, err = io.ReadAll(r.Body); err != nil {
-		return &fault{http.StatusBadRequest, "body ended early", ""}
-	}
 	// The time for the request is over; a later end of the connection means that the client is gone.
 	conn := http.NewResponseController(w)
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
@@ -149,8 +158,8 @@
 		c.counts.Dropped.Add(1)
 		return nil
 	}
+	defer s.ids.end(c.id)
 	a, ok := s.host.serve(r.Context(), c)
-	s.ids.end(c.id)
 	if !ok {
 		// Danger: net/http ends a handler that wrote nothing with an empty 200, which a client that has closed
 		// only its sending reads as served.
@@ -158,6 +167,9 @@
 	}
 	// Danger: a client that reads no answers would hold its handler for good.
 	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
+	if a.rest != nil {
+		return s.pass(w, r, conn, a, c.counts)
+	}
 	a.write(w)
 	switch a.kind {
 	case served:
@@ -170,6 +182,53 @@
 	return nil
 }
 
+// body reads a request's body. rest gives back the room that it took.
+func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body []byte, rest func(), f *fault) {
+	conn, start := http.NewResponseController(w), came.Add(bodyGrace)
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok && c.came.Add(bodyWithin).After(start) {
+		start = c.came.Add(bodyWithin)
+	}
+	taken := 0
+	rest = func() { s.room.give(taken) }
+	if r.ContentLength > 0 {
+		body = make([]byte, 0, min(r.ContentLength, mostBody)+1) // and a byte for the end
+	}
+	for {
+		if len(body) == cap(body) {
+			more := max(int(r.ContentLength)+1-len(body), len(body)/4, 4<<10)
+			if over := len(body) + more - mostBody - 1 - taken; over > 0 {
+				if len(body) > mostRequest {
+					rest()
+					return nil, nil, &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
+				}
+				if !s.room.take(over) { // Danger: many large bodies at once would take all memory.
+					rest()
+					return nil, nil, &fault{http.StatusServiceUnavailable, "refused: too many large bodies at once", ""}
+				}
+				taken += over
+			}
+			body = append(make([]byte, 0, len(body)+more), body...)
+		}
+		// Danger: a body that never ends would hold its connection for good.
+		if err := conn.SetReadDeadline(start.Add(time.Duration(len(body)) * time.Second / bodyPace)); err != nil {
+			rest()
+			return nil, nil, &fault{http.StatusInternalServerError, "no deadline", ""}
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, rest, nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			rest()
+			return nil, nil, &fault{http.StatusRequestTimeout, "body came too slowly", ""}
+		case err != nil:
+			rest()
+			return nil, nil, &fault{http.StatusBadRequest, "body ended early", ""}
+		}
+	}
+}
+
 // fault is the answer to a request that cannot be taken.
 type fault struct {
 	status int
--- /dev/null
+++ b/internal/sidecar/stream.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"beechmill.example/beechmill/internal/stats"
+)
+
+const (
+	passPiece  = 16 << 10 // bytes of a long answer that are held at once
+	sendBuffer = 64 << 10 // bytes of it that may wait in the client's connection
+	// stall is how long a server may pause in an answer that is being passed on. Danger: one that vanishes says nothing.
+	stall = 5 * time.Second
+)
+
+// serverBody is a body as a server sends it. Read returns what has come, without waiting for more, and io.EOF at the
+// end. After a deadline it can be read on.
+type serverBody struct {
+	c      *serverConn
+	length int64   // -1: not told
+	left   int64   // of a length
+	chunks *chunks // nil: none
+	ended  bool
+}
+
+// over tells whether all of it was read.
+func (b *serverBody) over() bool { return b.ended || b.length >= 0 && b.left == 0 }
+
+// Read implements io.Reader.
+func (b *serverBody) Read(p []byte) (n int, err error) {
+	switch {
+	case b.over():
+		return 0, io.EOF
+	case b.length >= 0:
+		n, err = b.c.in.Read(p[:min(int64(len(p)), b.left)])
+		b.left -= int64(n)
+		return n, cut(err)
+	case b.chunks == nil:
+		n, err = b.c.in.Read(p)
+		b.ended = err == io.EOF
+		return n, err
+	}
+	for n == 0 && !b.ended {
+		if _, err := b.c.in.Peek(1); err != nil {
+			return 0, cut(err)
+		}
+		in, err := b.c.in.Peek(min(b.c.in.Buffered(), len(p)))
+		if err != nil {
+			return 0, cut(err)
+		}
+		data, used, done, err := b.chunks.next(in)
+		if err != nil {
+			return 0, spoilt("%v", err)
+		}
+		n, b.ended = copy(p, data), done
+		if _, err := b.c.in.Discard(used); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// cut is the error of a body that has no end of its own.
+func cut(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// stream is the rest of an answer that is passed on as it comes.
+type stream struct {
+	body   *serverBody
+	closes bool      // the server closes the connection behind it
+	passed chan bool // gets whether its connection can have another request, once
+}
+
+// end lets go of the server's connection. whole says that all of the answer was read.
+func (s *stream) end(whole bool) {
+	ends := s.body.length >= 0 || s.body.chunks != nil // without its connection
+	s.passed <- whole && ends && !s.closes && s.body.c.quiet()
+}
+
+// pieces are buffers of passPiece bytes.
+var pieces = sync.Pool{New: func() any { return new([passPiece]byte) }}
+
+// pass passes a long answer on. Danger: what the server cuts off must not look whole to the client: its connection ends
+// before the length is met, or before the chunks' end.
+func (s *server) pass(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, a answer, counts *stats.Class) *fault {
+	whole, ours := false, false
+	// Danger: a full send buffer takes more when a third of it is free. A slow client would take a large one's third for
+	// longer than any piece may take.
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(sendBuffer) // the system's own is only worse
+		}
+	}
+	defer func() { a.rest.end(whole) }()
+	w.Header()["Content-Type"] = nil
+	if a.ctype != "" {
+		w.Header().Set("Content-Type", a.ctype)
+	}
+	if n := a.rest.body.length; n >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	a.rest.body.c.pause = stall
+	buffer := pieces.Get().(*[passPiece]byte)
+	defer pieces.Put(buffer)
+	for piece := a.body; ; {
+		if err := send(w, conn, piece); err != nil {
+			ours = true // the client is gone, or takes less than it must
+			break
+		}
+		if a.rest.body.over() {
+			whole = true
+			break
+		}
+		n, err := a.rest.body.Read(buffer[:])
+		if piece = buffer[:n]; err != nil && !errors.Is(err, io.EOF) {
+			break
+		}
+	}
+	switch {
+	case whole:
+		counts.Passed.Add(1)
+		return nil
+	case !ours:
+		counts.BadGateway.Add(1)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// send sends a piece of an answer. The time it may take is the piece's own.
+func send(w http.ResponseWriter, conn *http.ResponseController, piece []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(stall)); err != nil {
+		return err
+	}
+	if _, err := w.Write(piece); err != nil {
+		return err
+	}
+	return conn.Flush()
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -16,7 +16,10 @@
 )
 
 const (
-	mostBody   = 64 << 10 // bytes of a request's or an answer's body
+	mostBody    = 64 << 10 // bytes of a request's or an answer's body that are held in any case
+	mostRequest = 32 << 20 // bytes of a request's body
+	// leastPause is the least time that an answer may pause in its midst, before it is passed on.
+	leastPause = 500 * time.Millisecond
 	mostHeader = 16 << 10 // bytes of a request's or an answer's header
 )
 
@@ -35,6 +38,7 @@
 	outcome balance.Outcome
 	body    []byte
 	ctype   string
+	rest    *stream // what is still to come of a long one
 }
 
 // upstream makes attempts at the servers.
@@ -51,7 +55,7 @@
 // newUpstream returns an upstream that counts its tries. How long the network may take to bring a connection up, the
 // rest of an answer that has begun may take too.
 func newUpstream(c *Config, tries *atomic.Int64) *upstream {
-	u := &upstream{pool: newPool(newBudget(c).upstream, c.MemoryMB), tries: tries, targets: map[string]*target{},
+	u := &upstream{pool: newPool(newBudget(c).upstream), tries: tries, targets: map[string]*target{},
 		barred: map[string]bool{}}
 	u.configure(c.Limits)
 	return u
@@ -107,8 +111,10 @@
 	delete(u.targets, id)
 }
 
-// attempt sends m to a server and waits for the end, until ctx is done. It sends it at most once.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) reply {
+// attempt sends m to a server and waits for the end, until ctx is done. It sends it at most once. Where a long answer has
+// come in part it asks begins whether that is passed on. If it is, the attempt lasts until all of it is, whatever ctx
+// says, and its reply tells nothing more.
+func (u *upstream) attempt(ctx context.Context, id string, m *message, begins func(reply) bool) reply {
 	u.mu.Lock()
 	to, barred := u.targets[id], u.barred[id]
 	u.mu.Unlock()
@@ -121,8 +127,8 @@
 		return u.failed(ctx, to, begun, false, err)
 	}
 	// Danger: an attempt that is given up must end now, wherever it stands.
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	request := m.request(ctx, to.address)
+	stop := context.AfterFunc(ctx, c.giveUp)
+	request, body := m.request(ctx, to.address)
 	// Danger: a deadline set by another goroutine comes too late for a second copy that is called off as it is sent.
 	n, err := 0, ctx.Err()
 	if err == nil && u.pool.left(to) {
@@ -131,7 +137,12 @@
 	if err == nil {
 		n, err = c.Write(request)
 	}
-	ran := n == len(request) // Danger: a request taken for unwritten that was written runs twice.
+	if err == nil && len(body) > 0 {
+		more := 0
+		more, err = c.Write(body)
+		n += more
+	}
+	ran := n == len(request)+len(body) // Danger: a request taken for unwritten that was written runs twice.
 	if ran {
 		u.tries.Add(1)
 	}
@@ -140,7 +151,19 @@
 	if err == nil {
 		r, clean, err = u.receive(ctx, c)
 	}
-	u.pool.put(c, stop() && clean && c.SetReadDeadline(time.Time{}) == nil)
+	on := stop()
+	if err == nil && r.rest != nil {
+		switch {
+		case !on:
+			err = ctx.Err()
+		case !begins(r): // another attempt's answer was there before
+			u.pool.put(c, false)
+			return reply{outcome: balance.Cancelled}
+		default:
+			clean = <-r.rest.passed
+		}
+	}
+	u.pool.put(c, on && clean && c.SetReadDeadline(time.Time{}) == nil)
 	if err != nil {
 		return u.failed(ctx, to, begun, ran, err)
 	}
@@ -151,19 +174,11 @@
 // receive waits for the answer and reads it. Danger: an answer that stops midway, as one whose length is too long,
 // would hold its request to the end.
 func (u *upstream) receive(ctx context.Context, c *serverConn) (reply, bool, error) {
-	c.limit.N = 1 << 10
+	c.limit.N, c.pause = 1<<10, 0
 	if _, err := c.in.Peek(1); err != nil {
 		return reply{}, false, err
 	}
-	c.more = func() error {
-		if err := c.SetReadDeadline(time.Now().Add(time.Duration(u.within.Load()))); err != nil {
-			return err
-		}
-		return ctx.Err() // if it is over, the deadline of its end was just overwritten
-	}
-	if err := c.more(); err != nil {
-		return reply{}, false, err
-	}
+	c.pause = max(time.Duration(u.within.Load()), leastPause)
 	r, clean, err := c.answer()
 	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
 		err = spoilt("it stopped midway")
@@ -197,10 +212,10 @@
 	return reply{outcome: balance.Reset}
 }
 
-// request writes the request of one attempt. X-Timeout-Ms is what is left now: the wait for a connection was the
+// request writes the request of one attempt, in two parts where its body is long. X-Timeout-Ms is what is left now: the wait for a connection was the
 // client's time too.
-func (m *message) request(ctx context.Context, address string) []byte {
-	b := make([]byte, 0, 512+len(m.body))
+func (m *message) request(ctx context.Context, address string) (head, body []byte) {
+	b := make([]byte, 0, 512+min(len(m.body), mostBody))
 	line := func(parts ...string) {
 		for _, p := range parts {
 			b = append(b, p...)
@@ -223,5 +238,8 @@
 		line("Content-Length: ", strconv.Itoa(len(m.body)))
 	}
 	line()
-	return append(b, m.body...)
+	if len(m.body) > mostBody {
+		return b, m.body // Danger: copies of many large bodies would take all memory.
+	}
+	return append(b, m.body...), nil
 }
