Take what an endpoint's pause holds up for one silence, not many

Ruled out: refusals for want of connections or requests in hand (86 descriptors of 384, 8 in flight), discovery. Cause: unanswered() in balance/health.go counted each attempt that a pause held up as evidence of its own. Now what was sent before the last silence was noticed tells nothing new, unless its client's time has run out.

--- a/balance/health.go
+++ b/balance/health.go
@@ -182,8 +182,10 @@
 func (b *Balancer) unanswered(class int, a *attempt, survival, lost float64, now Time) {
 	e := a.to
 	if e.heard < a.sent { // slow or silent: it tells nothing of what it loses
-		if !a.silent {
-			a.silent = true
+		// Danger: a pause of the endpoint holds up all that is out there. That is one silence, not many: only what
+		// is sent after it was noticed tells whether it lasts.
+		if !a.silent && (a.done || a.sent >= e.hushed) {
+			a.silent, e.hushed = true, now
 			e.silent.Bad(survival, max(b.usualLoss(e), partLost), loseAll, 0)
 		}
 		if e.silent.Rings() && a.sent >= e.until {
--- a/balance/late_test.go
+++ b/balance/late_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"beechmill.example/beechmill/internal/repeats"
 )
 
 // TestDeadConnectionIsNotASlowEndpoint has one attempt stay without an answer while its endpoint answers all others:
@@ -194,3 +196,26 @@
 		}
 	}
 }
+
+// TestPauseIsNoSilence has an endpoint pause with many requests out, each for longer than nearly all answers take, and
+// then say nothing to what is sent later. Danger: where all is nearly full, a pause that takes the largest endpoint out
+// for seconds leaves the others overrun.
+func TestPauseIsNoSilence(t *testing.T) {
+	const survival, requests = 0.001, 40
+	for _, later := range []bool{false, true} {
+		b, h := start(t, settings(), many(4))
+		serve(b, h, 400, 20*time.Millisecond)
+		e := b.known["a"]
+		sent := h.now
+		for range requests {
+			if h.now += 10 * time.Millisecond; later {
+				sent = h.now // after the last silence was noticed
+			}
+			a := attempt{to: e, sent: sent, scale: 0.02}
+			b.unanswered(0, &a, survival, repeats.Lost(lossUsual, survival), h.now)
+		}
+		if ejected := h.now < e.until; ejected != later {
+			t.Errorf("%d unanswered, sent one after another %v: ejected %v", requests, later, ejected)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -127,6 +127,7 @@
 	until   Time           // ejected until
 	loss    repeats.Record // of its attempts that it would have answered, had it answered any
 	silent  repeats.Alarm  // for an endpoint that loses all
+	hushed  Time           // when a silence last counted
 	classes []repeats.Access
 }
 
