--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,9 +141,13 @@
 	}
 	if doubt > out {
 		next = min(next, doubt-out)
-	} else if !a.copied {
-		b.suspect(q, a, now)
-		b.again(q, n, now)
+	} else {
+		if !a.copied || a.to.heard < a.sent {
+			b.suspect(q, a, now)
+		}
+		if !a.copied {
+			b.again(q, n, now)
+		}
 	}
 	b.lookAgain(next, token)
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -27,6 +27,7 @@
 	learnBelow   = 0.03                   // share lost under which answers teach how long they take
 	partLost     = 0.2                    // share lost that is not silence: so few in a row prove nothing
 	timedOutLost = 0.05                   // share lost at least, for an attempt that outlasts its client
+	pauseMost    = 3.0                    // shortest aims after which a silence is more than a pause
 	classKeep    = 0.85                   // what an attempt leaves of its class's record at its endpoint
 	nodeKeep     = 0.93                   // of its endpoint's
 	fleetKeep    = 0.995                  // and of the fleet's
@@ -182,10 +183,13 @@
 func (b *Balancer) unanswered(class int, a *attempt, survival, lost float64, now Time) {
 	e := a.to
 	if e.heard < a.sent { // slow or silent: it tells nothing of what it loses
-		// Danger: a pause of the endpoint holds up all that is out there. That is one silence, not many: only what
-		// is sent after it was noticed tells whether it lasts.
-		if !a.silent && (a.done || a.sent >= e.hushed) {
-			a.silent, e.hushed = true, now
+		// Danger: a pause of the endpoint holds up all that is out there. That is one silence, not many: at first
+		// only what is sent after it was noticed tells whether it lasts.
+		news := a.sent >= e.hushed
+		if !a.silent && (a.done || news || (now-e.hushed).Seconds() >= pauseMost*b.aim) {
+			if a.silent = true; news {
+				e.hushed = now
+			}
 			e.silent.Bad(survival, max(b.usualLoss(e), partLost), loseAll, 0)
 		}
 		if e.silent.Rings() && a.sent >= e.until {
--- a/balance/late_test.go
+++ b/balance/late_test.go
@@ -197,25 +197,38 @@
 	}
 }
 
-// TestPauseIsNoSilence has an endpoint pause with many requests out, each for longer than nearly all answers take, and
-// then say nothing to what is sent later. Danger: where all is nearly full, a pause that takes the largest endpoint out
-// for seconds leaves the others overrun.
+// TestPauseIsNoSilence has an endpoint pause with many requests out, each for longer than nearly all answers take.
+// Danger: where all is nearly full, a pause that takes the largest endpoint out for seconds leaves the others overrun.
+// Danger: one that has vanished swallows what is sent to it until it is known. So what is sent later tells more at once,
+// and what was out counts in full once the silence lasts.
 func TestPauseIsNoSilence(t *testing.T) {
 	const survival, requests = 0.001, 40
-	for _, later := range []bool{false, true} {
+	for _, tt := range []struct {
+		name    string
+		later   bool          // each is sent after the last was missed
+		noticed time.Duration // after which the rest of them is missed
+		ejected bool
+	}{
+		{"a pause", false, 200 * time.Millisecond, false},
+		{"what is sent later", true, 0, true},
+		{"it lasts", false, time.Duration(pauseMost * float64(time.Second)), true},
+	} {
 		b, h := start(t, settings(), many(4))
 		serve(b, h, 400, 20*time.Millisecond)
 		e := b.known["a"]
 		sent := h.now
-		for range requests {
-			if h.now += 10 * time.Millisecond; later {
-				sent = h.now // after the last silence was noticed
+		for i := range requests {
+			if h.now += 10 * time.Millisecond; tt.later {
+				sent = h.now
+			}
+			if i == 1 {
+				h.now += tt.noticed
 			}
 			a := attempt{to: e, sent: sent, scale: 0.02}
 			b.unanswered(0, &a, survival, repeats.Lost(lossUsual, survival), h.now)
 		}
-		if ejected := h.now < e.until; ejected != later {
-			t.Errorf("%d unanswered, sent one after another %v: ejected %v", requests, later, ejected)
+		if ejected := h.now < e.until; ejected != tt.ejected {
+			t.Errorf("%s: ejected %v, want %v", tt.name, ejected, tt.ejected)
 		}
 	}
 }
