--- a/balance/health.go
+++ b/balance/health.go
@@ -27,7 +27,7 @@
 	learnBelow   = 0.03                   // share lost under which answers teach how long they take
 	partLost     = 0.2                    // share lost that is not silence: so few in a row prove nothing
 	timedOutLost = 0.05                   // share lost at least, for an attempt that outlasts its client
-	pauseMost    = 3.0                    // shortest aims after which a silence is more than a pause
+	pauseMost    = 6.0                    // shortest aims after which a silence is more than a pause
 	classKeep    = 0.85                   // what an attempt leaves of its class's record at its endpoint
 	nodeKeep     = 0.93                   // of its endpoint's
 	fleetKeep    = 0.995                  // and of the fleet's
