Hold long bodies in pieces, and count those that are refused

Cause: a long body that grew in one buffer was held up to twice while it was copied; a body refused for want of room was counted nowhere.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -131,13 +131,16 @@
 	if f != nil {
 		return f
 	}
-	var rest func()
-	if c.body, rest, f = s.body(w, r, came); f != nil {
-		return f
-	}
-	defer rest()
 	if r.ContentLength != 0 {
-		came = time.Now() // the client's time begins with its last byte
+		body, rest, f := s.body(w, r, came)
+		if f != nil {
+			if f.status == http.StatusServiceUnavailable {
+				c.counts.Dropped.Add(1)
+			}
+			return f
+		}
+		defer rest()
+		c.body, came = body, time.Now() // the client's time begins with its last byte
 	}
 	c.deadline = came.Add(wait - answerMargin)
 	if s.draining.Load() {
@@ -182,49 +185,49 @@
 	return nil
 }
 
-// body reads a request's body. rest gives back the room that it took.
-func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body []byte, rest func(), f *fault) {
+// body reads a request's body, in pieces of mostBody bytes at most. rest gives back the room that it took.
+func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body [][]byte, rest func(), f *fault) {
 	conn, start := http.NewResponseController(w), came.Add(bodyGrace)
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok && c.came.Add(bodyWithin).After(start) {
 		start = c.came.Add(bodyWithin)
 	}
-	taken := 0
-	rest = func() { s.room.give(taken) }
+	taken, all := 0, 0
+	bad := func(status int, text string) ([][]byte, func(), *fault) {
+		s.room.give(taken)
+		return nil, nil, &fault{status, text, ""}
+	}
+	size := 4 << 10
 	if r.ContentLength > 0 {
-		body = make([]byte, 0, min(r.ContentLength, mostBody)+1) // and a byte for the end
+		size = int(min(r.ContentLength+1, mostBody)) // and a byte for the end
 	}
+	piece := make([]byte, 0, size)
 	for {
-		if len(body) == cap(body) {
-			more := max(int(r.ContentLength)+1-len(body), len(body)/4, 4<<10)
-			if over := len(body) + more - mostBody - 1 - taken; over > 0 {
-				if len(body) > mostRequest {
-					rest()
-					return nil, nil, &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
-				}
-				if !s.room.take(over) { // Danger: many large bodies at once would take all memory.
-					rest()
-					return nil, nil, &fault{http.StatusServiceUnavailable, "refused: too many large bodies at once", ""}
-				}
-				taken += over
-			}
-			body = append(make([]byte, 0, len(body)+more), body...)
+		switch {
+		case len(piece) < cap(piece):
+		case len(piece) < mostBody:
+			piece = append(make([]byte, 0, min(4*cap(piece), mostBody)), piece...)
+		case all > mostRequest:
+			return bad(http.StatusRequestEntityTooLarge, "body too large")
+		case !s.room.take(mostBody): // Danger: many large bodies at once would take all memory.
+			return bad(http.StatusServiceUnavailable, "refused: too many large bodies at once")
+		default:
+			taken += mostBody
+			body = append(body, piece)
+			piece = make([]byte, 0, mostBody)
 		}
 		// Danger: a body that never ends would hold its connection for good.
-		if err := conn.SetReadDeadline(start.Add(time.Duration(len(body)) * time.Second / bodyPace)); err != nil {
-			rest()
-			return nil, nil, &fault{http.StatusInternalServerError, "no deadline", ""}
+		if err := conn.SetReadDeadline(start.Add(time.Duration(all) * time.Second / bodyPace)); err != nil {
+			return bad(http.StatusInternalServerError, "no deadline")
 		}
-		n, err := r.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := r.Body.Read(piece[len(piece):cap(piece)])
+		piece, all = piece[:len(piece)+n], all+n
 		switch {
 		case err == io.EOF:
-			return body, rest, nil
+			return append(body, piece), func() { s.room.give(taken) }, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			rest()
-			return nil, nil, &fault{http.StatusRequestTimeout, "body came too slowly", ""}
+			return bad(http.StatusRequestTimeout, "body came too slowly")
 		case err != nil:
-			rest()
-			return nil, nil, &fault{http.StatusBadRequest, "body ended early", ""}
+			return bad(http.StatusBadRequest, "body ended early")
 		}
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -30,7 +30,15 @@
 	id     string
 	key    string // Idempotency-Key, "" for none
 	ctype  string // Content-Type
-	body   []byte
+	body   [][]byte
+}
+
+// length is that of the body.
+func (m *message) length() (n int) {
+	for _, piece := range m.body {
+		n += len(piece)
+	}
+	return n
 }
 
 // reply is how an attempt ended. body and ctype are those of a Served one.
@@ -137,12 +145,16 @@
 	if err == nil {
 		n, err = c.Write(request)
 	}
-	if err == nil && len(body) > 0 {
+	for i := 0; err == nil && i < len(body); i++ {
 		more := 0
-		more, err = c.Write(body)
+		more, err = c.Write(body[i])
 		n += more
 	}
-	ran := n == len(request)+len(body) // Danger: a request taken for unwritten that was written runs twice.
+	whole := len(request)
+	if len(body) > 0 {
+		whole += m.length()
+	}
+	ran := n == whole // Danger: a request taken for unwritten that was written runs twice.
 	if ran {
 		u.tries.Add(1)
 	}
@@ -214,8 +226,8 @@
 
 // request writes the request of one attempt, in two parts where its body is long. X-Timeout-Ms is what is left now: the wait for a connection was the
 // client's time too.
-func (m *message) request(ctx context.Context, address string) (head, body []byte) {
-	b := make([]byte, 0, 512+min(len(m.body), mostBody))
+func (m *message) request(ctx context.Context, address string) (head []byte, body [][]byte) {
+	b := make([]byte, 0, 512+min(m.length(), mostBody))
 	line := func(parts ...string) {
 		for _, p := range parts {
 			b = append(b, p...)
@@ -235,11 +247,11 @@
 		line("Content-Type: ", m.ctype)
 	}
 	if m.method == http.MethodPost {
-		line("Content-Length: ", strconv.Itoa(len(m.body)))
+		line("Content-Length: ", strconv.Itoa(m.length()))
 	}
 	line()
-	if len(m.body) > mostBody {
-		return b, m.body // Danger: copies of many large bodies would take all memory.
+	if len(m.body) == 1 {
+		return append(b, m.body[0]...), nil
 	}
-	return append(b, m.body...), nil
+	return b, m.body // Danger: copies of many large bodies would take all memory.
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -34,7 +34,7 @@
 
 func post(key string) *message {
 	return &message{method: http.MethodPost, uri: &url.URL{Path: "/api", RawQuery: "k=a%20b"}, id: "id-1", key: key,
-		body: []byte("skip")}
+		body: [][]byte{[]byte("skip")}}
 }
 
 func get() *message {
