--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -35,7 +35,7 @@
 	Packages []string
 }
 
-func read(t *testing.T) deployment {
+func read(t testing.TB) deployment {
 	t.Helper()
 	var d deployment
 	meta, err := toml.DecodeFile("balancer.toml", &d)
--- a/deploy/ops_test.go
+++ b/deploy/ops_test.go
@@ -27,7 +27,7 @@
 
 // site is what one sidecar stands between, over its processes.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string // TMPDIR of all processes
 	file    string // their configuration
 	listen  string
@@ -44,7 +44,7 @@
 	barred  atomic.Bool // nothing may come
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -55,7 +55,7 @@
 }
 
 // serve has a handler answer on loopback until the test's end.
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,7 +68,7 @@
 }
 
 // newSite returns a site of three servers that answer as do says.
-func newSite(t *testing.T, memoryMB int, do http.HandlerFunc) *site {
+func newSite(t testing.TB, memoryMB int, do http.HandlerFunc) *site {
 	t.Helper()
 	build := exec.Command("/bin/sh", "-c", read(t).Build)
 	build.Dir = root
@@ -125,31 +125,62 @@
 	site    *site
 	cmd     *exec.Cmd
 	console string
+	log     strings.Builder // to be read once it has ended
 	ended   chan error
 }
 
 // start runs the program and waits for its yes.
 func (s *site) start() *process {
+	s.t.Helper()
+	p := s.run(read(s.t).Run)
+	p.await(func() bool { return p.call("GET", "/ops/readiness", "") == 200 })
+	return p
+}
+
+// started runs a program that may be too old for a console, "" the built one, and waits until it serves.
+func (s *site) started(line string) *process {
+	s.t.Helper()
+	if line == "" {
+		line = read(s.t).Run
+	}
+	p := s.run(line)
+	p.await(func() bool {
+		resp, err := http.Get("http://" + s.listen + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	return p
+}
+
+// run runs a command as the program.
+func (s *site) run(line string) *process {
 	s.t.Helper()
 	p := &process{site: s, console: freeAddress(s.t), ended: make(chan error, 1)}
-	p.cmd = exec.Command("/bin/sh", "-c", read(s.t).Run)
+	p.cmd = exec.Command("/bin/sh", "-c", line)
 	p.cmd.Dir = root
 	p.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+s.file, "PROXY_CONSOLE="+p.console, "TMPDIR="+s.dir)
-	var log strings.Builder
-	p.cmd.Stderr = &log
+	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
 	go func() { p.ended <- p.cmd.Wait() }()
 	s.t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // most have ended
-	for end := time.Now().Add(patience); p.call("GET", "/ops/readiness", "") != 200; time.Sleep(5 * time.Millisecond) {
+	return p
+}
+
+// await waits until the program is ready.
+func (p *process) await(ready func() bool) {
+	p.site.t.Helper()
+	for end := time.Now().Add(patience); !ready(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			_ = p.cmd.Process.Kill()
 			<-p.ended
-			s.t.Fatalf("no yes within %v:\n%s", patience, log.String())
+			p.site.t.Fatalf("no yes within %v:\n%s", patience, p.log.String())
 		}
 	}
-	return p
 }
 
 // stop tells the process to finish and waits until it has.
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -66,10 +66,14 @@
 		if f.size += len(piece); f.size > mostHead {
 			return used, fmt.Errorf("%w: a head of more than %d bytes", errFraming, mostHead)
 		}
-		if f.line = append(f.line, piece...); end < 0 {
-			return used, nil
+		line := piece // most lines come whole
+		if end < 0 || len(f.line) > 0 {
+			if f.line = append(f.line, piece...); end < 0 {
+				return used, nil
+			}
+			line = f.line
 		}
-		line := bytes.TrimSuffix(f.line[:len(f.line)-1], []byte("\r"))
+		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 		if len(line) == 0 && f.first {
 			return used, f.body()
 		}
@@ -89,6 +93,9 @@
 	if line[0] == ' ' || line[0] == '\t' {
 		return fmt.Errorf("%w: a folded line", errFraming)
 	}
+	if c := line[0] | 0x20; c != 'c' && c != 't' { // neither of the two, in capitals or not
+		return nil
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimSpace(value)
 	switch {
