Use the pieces of long bodies again, and take a body's room at once where its length is told

Cause: with eight clients sending 6 MB each over and over at a limit of 32 MB, 33,208 kB were held: bodies that wait for the garbage collector count as memory. Pieces go back once no attempt can read them.

--- a/deploy/ops_test.go
+++ b/deploy/ops_test.go
@@ -601,3 +601,70 @@
 	}
 	p.stop()
 }
+
+// TestLongBodiesAtTheLimit has many clients send long bodies at once where 32 MB is all the memory there is, over and
+// over: each is served whole or refused at once, and memory stays within the limit.
+func TestLongBodiesAtTheLimit(t *testing.T) {
+	const length, clients, rounds = 6 << 20, 8, 4
+	s := newSite(t, 32, func(w http.ResponseWriter, r *http.Request) {
+		if n, err := io.Copy(io.Discard, r.Body); n != length || err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		fmt.Fprint(w, "ok")
+	})
+	p := s.start()
+	var all sync.WaitGroup
+	var served, refused atomic.Int64
+	for i := range clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for n := range rounds {
+				body := io.Reader(io.LimitReader(zeros{}, length))
+				r, err := http.NewRequest("POST", "http://"+s.listen+"/api", body) // in chunks, as its length is not known
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if i%2 == 0 {
+					r.ContentLength = length
+				}
+				r.Header = http.Header{"X-Request-Id": {fmt.Sprintf("u%d-%d", i, n)}, "X-Priority-Class": {"pay"}, "X-Timeout-Ms": {"15000"}}
+				resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+				if err != nil {
+					refused.Add(1) // the connection ended while the body was on its way, as it was refused
+					continue
+				}
+				resp.Body.Close()
+				switch resp.StatusCode {
+				case 200:
+					served.Add(1)
+				case 503:
+					refused.Add(1)
+				default:
+					t.Errorf("status %d", resp.StatusCode)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	_, peak, _ := p.holds()
+	if peak > 32<<10 {
+		t.Errorf("%d kB were held of 32 MB", peak)
+	}
+	passed, dropped := p.figure("passed.pay"), p.figure("dropped.pay")
+	if passed != int(served.Load()) || dropped != int(refused.Load()) || passed == 0 {
+		t.Errorf("clients count %d served and %d refused, the figures %d and %d", served.Load(), refused.Load(), passed, dropped)
+	}
+	t.Logf("%d served, %d refused, %d kB at most", passed, dropped, peak)
+	p.stop()
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -20,27 +20,47 @@
 // bodyShare is the part of the memory that bodies of clients may take beyond what each may.
 const bodyShare = 4
 
-// room bounds what is held at once, in bytes.
+// room bounds what is held of long bodies at once, in pieces of mostBody bytes. Pieces are used again: what waits for the
+// garbage collector counts as memory too.
 type room struct {
 	mu   sync.Mutex
-	left int
+	most int // pieces
+	held int
+	free [][]byte
 }
 
-// take takes n bytes, or nothing and returns false.
+// take sets n pieces aside, or none and returns false.
 func (r *room) take(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.left < n {
+	if r.held+n > r.most {
 		return false
 	}
-	r.left -= n
+	r.held += n
 	return true
 }
 
-func (r *room) give(n int) {
+// piece returns one that was set aside.
+func (r *room) piece() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.left += n
+	if last := len(r.free) - 1; last >= 0 {
+		piece := r.free[last]
+		r.free = r.free[:last]
+		return piece[:0]
+	}
+	return make([]byte, 0, mostBody)
+}
+
+// give gives back n pieces, and those of them that were used. Nobody may use them any more.
+func (r *room) give(n int, used [][]byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held -= n; r.held == 0 {
+		r.free = nil // a quiet time: the memory is not kept
+		return
+	}
+	r.free = append(r.free, used...)
 }
 
 // spareSockets are for the listener, discovery's watches, a connection that is about to be closed, and the runtime.
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -47,6 +47,9 @@
 	deadline time.Time // the final answer is due
 	answered chan answer
 
+	// release gives back the room of the body, once no attempt can read it any more; nil: it took none.
+	release func()
+
 	number   balance.RequestID
 	over     bool // has its final answer
 	attempts []context.CancelFunc
@@ -203,10 +206,20 @@
 	}
 }
 
+// released gives back the room of the body. Danger: given back while an attempt still writes it, the next request's body
+// would go out in its place.
+func (c *call) released() {
+	if c.release != nil {
+		c.release()
+		c.release, c.body = nil, nil
+	}
+}
+
 // forget lets go of a request that has its answer and has nothing out.
 func (h *host) forget(c *call) {
 	if c.over && c.out == 0 {
 		delete(h.calls, c.number)
+		c.released()
 	}
 }
 
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -16,7 +16,7 @@
 	"beechmill.example/beechmill/internal/handover"
 )
 
-const memoryShare = 0.7 // of the limit that the heap may grow to
+const memoryShare = 0.6 // of the limit that the heap may grow to; the rest is for what is not heap
 
 // drainTimes say how a planned restart goes.
 type drainTimes struct {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -50,7 +50,7 @@
 		b.requests = min(b.requests, c.Limits.MostHeld)
 	}
 	return &server{host: h, config: c, ids: newIDs(b.requests), conns: newClientConns(l, b.clients, b.usual),
-		room: &room{left: c.MemoryMB << 20 / bodyShare}}
+		room: &room{most: c.MemoryMB << 20 / bodyShare / mostBody}}
 }
 
 // The least time from the word to stop to the kill, on top of the longest deadline, which counts for no more than most.
@@ -132,15 +132,14 @@
 		return f
 	}
 	if r.ContentLength != 0 {
-		body, rest, f := s.body(w, r, came)
+		body, release, f := s.body(w, r, came)
 		if f != nil {
 			if f.status == http.StatusServiceUnavailable {
 				c.counts.Dropped.Add(1)
 			}
 			return f
 		}
-		defer rest()
-		c.body, came = body, time.Now() // the client's time begins with its last byte
+		c.body, c.release, came = body, release, time.Now() // the client's time begins with its last byte
 	}
 	c.deadline = came.Add(wait - answerMargin)
 	if s.draining.Load() {
@@ -151,12 +150,15 @@
 	// The time for the request is over; a later end of the connection means that the client is gone.
 	conn := http.NewResponseController(w)
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		c.released()
 		return &fault{http.StatusInternalServerError, "no deadline", ""}
 	}
 	switch known, full := s.ids.take(c.id); {
 	case known:
+		c.released()
 		return &fault{http.StatusConflict, "X-Request-ID is in use", ""}
 	case full:
+		c.released()
 		answer{kind: refused, after: s.host.terms.Load().again}.write(w)
 		c.counts.Dropped.Add(1)
 		return nil
@@ -185,45 +187,53 @@
 	return nil
 }
 
-// body reads a request's body, in pieces of mostBody bytes at most. rest gives back the room that it took.
-func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body [][]byte, rest func(), f *fault) {
+// body reads a request's body, in pieces of mostBody bytes at most. release gives back the room that it took.
+func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body [][]byte, release func(), f *fault) {
 	conn, start := http.NewResponseController(w), came.Add(bodyGrace)
 	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok && c.came.Add(bodyWithin).After(start) {
 		start = c.came.Add(bodyWithin)
 	}
-	taken, all := 0, 0
-	bad := func(status int, text string) ([][]byte, func(), *fault) {
-		s.room.give(taken)
-		return nil, nil, &fault{status, text, ""}
-	}
 	size := 4 << 10
 	if r.ContentLength > 0 {
 		size = int(min(r.ContentLength+1, mostBody)) // and a byte for the end
 	}
-	piece := make([]byte, 0, size)
+	body = [][]byte{make([]byte, 0, size)}
+	taken, all := 0, 0
+	release = func() { s.room.give(taken, body[1:]) }
+	bad := func(status int, text string) ([][]byte, func(), *fault) {
+		release()
+		return nil, nil, &fault{status, text, ""}
+	}
 	for {
+		piece := body[len(body)-1]
 		switch {
 		case len(piece) < cap(piece):
 		case len(piece) < mostBody:
 			piece = append(make([]byte, 0, min(4*cap(piece), mostBody)), piece...)
 		case all > mostRequest:
 			return bad(http.StatusRequestEntityTooLarge, "body too large")
-		case !s.room.take(mostBody): // Danger: many large bodies at once would take all memory.
-			return bad(http.StatusServiceUnavailable, "refused: too many large bodies at once")
 		default:
-			taken += mostBody
-			body = append(body, piece)
-			piece = make([]byte, 0, mostBody)
+			if taken == len(body)-1 {
+				// Danger: many large bodies at once would take all memory. Danger: where each takes its room bit by bit,
+				// all get a part and none gets through. One that says its length takes it at once.
+				more := max(1, (int(r.ContentLength)-all)/mostBody+1)
+				if !s.room.take(more) {
+					return bad(http.StatusServiceUnavailable, "refused: too many large bodies at once")
+				}
+				taken += more
+			}
+			piece = s.room.piece()
+			body = append(body, nil)
 		}
 		// Danger: a body that never ends would hold its connection for good.
 		if err := conn.SetReadDeadline(start.Add(time.Duration(all) * time.Second / bodyPace)); err != nil {
 			return bad(http.StatusInternalServerError, "no deadline")
 		}
 		n, err := r.Body.Read(piece[len(piece):cap(piece)])
-		piece, all = piece[:len(piece)+n], all+n
+		body[len(body)-1], all = piece[:len(piece)+n], all+n
 		switch {
 		case err == io.EOF:
-			return append(body, piece), func() { s.room.give(taken) }, nil
+			return body, release, nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return bad(http.StatusRequestTimeout, "body came too slowly")
 		case err != nil:
