Have a process that starts beside another listen only once it has a list

Cause, found on reading: it listened after a second at the latest, and without servers it would have refused what the other process serves. Test: TestBesideAnother.

--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -91,6 +91,12 @@
 		case <-stop.Done():
 			return nil
 		}
+		// Danger: a process that listens and has no servers refuses what the other one would serve.
+		select {
+		case <-h.ready:
+		case <-stop.Done():
+			return nil
+		}
 	}
 	inner, err := listenShared(c.Listen, log)
 	if err != nil {
