--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // printer is a sidecar's host that prints what it is asked to do.
--- a/balance/health.go
+++ b/balance/health.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"beechmill.example/beechmill/internal/repeats"
+	"milletramp.example/milletramp/internal/repeats"
 )
 
 const (
--- a/balance/late_test.go
+++ b/balance/late_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/repeats"
+	"milletramp.example/milletramp/internal/repeats"
 )
 
 // TestDeadConnectionIsNotASlowEndpoint has one attempt stay without an answer while its endpoint answers all others:
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"beechmill.example/beechmill/internal/pace"
-	"beechmill.example/beechmill/internal/quota"
-	"beechmill.example/beechmill/internal/repeats"
+	"milletramp.example/milletramp/internal/pace"
+	"milletramp.example/milletramp/internal/quota"
+	"milletramp.example/milletramp/internal/repeats"
 )
 
 // Balancer makes the decisions of one sidecar.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/wire"
 )
 
 func main() {
--- a/cmd/milletramp/fleet.go
+++ b/cmd/milletramp/fleet.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet"
+	"milletramp.example/milletramp/internal/fleet"
 )
 
 type fleetCommands struct {
--- a/cmd/milletramp/lab.go
+++ b/cmd/milletramp/lab.go
@@ -13,9 +13,9 @@
 	"text/tabwriter"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab"
-	"beechmill.example/beechmill/internal/lab/report"
-	"beechmill.example/beechmill/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab"
+	"milletramp.example/milletramp/internal/lab/report"
+	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
 type labCommands struct {
--- a/cmd/milletramp/main.go
+++ b/cmd/milletramp/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"beechmill.example/beechmill/internal/sidecar"
+	"milletramp.example/milletramp/internal/sidecar"
 )
 
 // commands are the tool's commands.
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -12,7 +12,7 @@
 	"strings"
 	"syscall"
 
-	"beechmill.example/beechmill/internal/sidecar"
+	"milletramp.example/milletramp/internal/sidecar"
 )
 
 func main() {
--- a/deploy/fleet_test.go
+++ b/deploy/fleet_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet"
+	"milletramp.example/milletramp/internal/fleet"
 )
 
 // TestFleetFile reads the file as it is, as a sidecar does.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,10 +14,10 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet/gossip"
-	"beechmill.example/beechmill/internal/fleet/link"
-	"beechmill.example/beechmill/internal/fleet/membership"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/gossip"
+	"milletramp.example/milletramp/internal/fleet/link"
+	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 const (
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -15,8 +15,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 // Time is a reading of the host's monotonic clock.
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 // start is the time at which tests begin.
--- a/internal/fleet/gossip/packet.go
+++ b/internal/fleet/gossip/packet.go
@@ -6,8 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 // Format is the version of what is said on the wire. Danger: a sidecar that reads another format half right would hold
--- a/internal/fleet/replication/row.go
+++ b/internal/fleet/replication/row.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/membership"
 )
 
 // Evidence is what one sidecar has seen of one server of late, in its own requests alone.
--- a/internal/fleet/replication/store.go
+++ b/internal/fleet/replication/store.go
@@ -20,7 +20,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/membership"
 )
 
 // Time is a reading of the host's monotonic clock.
--- a/internal/fleet/replication/store_test.go
+++ b/internal/fleet/replication/store_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"beechmill.example/beechmill/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/membership"
 )
 
 var lives = []membership.Life{{Number: 1, Nonce: 1}, {Number: 2, Nonce: 1}, {Number: 2, Nonce: 2}}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet/gossip"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/gossip"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 // Status is what this sidecar holds of the fleet, for the staff.
--- a/internal/fleet/warm.go
+++ b/internal/fleet/warm.go
@@ -13,8 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"beechmill.example/beechmill/internal/fleet/gossip"
-	"beechmill.example/beechmill/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/fleet/gossip"
+	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
 const (
--- a/internal/lab/fleet/procs/procs.go
+++ b/internal/lab/fleet/procs/procs.go
@@ -24,9 +24,9 @@
 	"syscall"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/fleet/plan"
-	"beechmill.example/beechmill/internal/lab/fleet/referee"
-	"beechmill.example/beechmill/internal/standin/mesh"
+	"milletramp.example/milletramp/internal/lab/fleet/plan"
+	"milletramp.example/milletramp/internal/lab/fleet/referee"
+	"milletramp.example/milletramp/internal/standin/mesh"
 )
 
 // Options say how a plan is played.
--- a/internal/lab/fleet/procs/procs_test.go
+++ b/internal/lab/fleet/procs/procs_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/fleet/plan"
-	"beechmill.example/beechmill/internal/lab/fleet/referee"
+	"milletramp.example/milletramp/internal/lab/fleet/plan"
+	"milletramp.example/milletramp/internal/lab/fleet/referee"
 )
 
 var (
--- a/internal/lab/fleet/sim/cost_test.go
+++ b/internal/lab/fleet/sim/cost_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet/gossip"
-	"beechmill.example/beechmill/internal/lab/fleet/plan"
+	"milletramp.example/milletramp/internal/fleet/gossip"
+	"milletramp.example/milletramp/internal/lab/fleet/plan"
 )
 
 var most = flag.Int("fleet.most", 100, "sidecars of the largest fleet that costs are taken of")
--- a/internal/lab/fleet/sim/sim.go
+++ b/internal/lab/fleet/sim/sim.go
@@ -11,11 +11,11 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/internal/fleet/gossip"
-	"beechmill.example/beechmill/internal/fleet/membership"
-	"beechmill.example/beechmill/internal/fleet/replication"
-	"beechmill.example/beechmill/internal/lab/fleet/plan"
-	"beechmill.example/beechmill/internal/lab/fleet/referee"
+	"milletramp.example/milletramp/internal/fleet/gossip"
+	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/replication"
+	"milletramp.example/milletramp/internal/lab/fleet/plan"
+	"milletramp.example/milletramp/internal/lab/fleet/referee"
 )
 
 // Options say how a plan is played.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -13,12 +13,12 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/lab/referee"
-	"beechmill.example/beechmill/internal/lab/report"
-	"beechmill.example/beechmill/internal/lab/scenario"
-	"beechmill.example/beechmill/internal/lab/sim"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/referee"
+	"milletramp.example/milletramp/internal/lab/report"
+	"milletramp.example/milletramp/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/sim"
 )
 
 // Simulated plays a scenario in simulated time.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -16,13 +16,13 @@
 
 	"go.uber.org/goleak"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/lab/referee"
-	"beechmill.example/beechmill/internal/lab/report"
-	"beechmill.example/beechmill/internal/lab/rival"
-	"beechmill.example/beechmill/internal/lab/scenario"
-	"beechmill.example/beechmill/internal/lab/sim"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/referee"
+	"milletramp.example/milletramp/internal/lab/report"
+	"milletramp.example/milletramp/internal/lab/rival"
+	"milletramp.example/milletramp/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/sim"
 )
 
 const scenarios = "../../lab"
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -8,7 +8,7 @@
 	"sort"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
 // Ask is one request as its client makes it.
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -10,9 +10,9 @@
 	"slices"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/lab/node"
-	"beechmill.example/beechmill/internal/lab/scenario"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/lab/node"
+	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
 // Machine is a node as it is planned.
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -6,14 +6,14 @@
 	"io"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/lab/referee"
-	"beechmill.example/beechmill/internal/lab/report"
-	"beechmill.example/beechmill/internal/lab/rival"
-	"beechmill.example/beechmill/internal/lab/scenario"
-	"beechmill.example/beechmill/internal/lab/sim"
-	"beechmill.example/beechmill/internal/lab/sockets"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/referee"
+	"milletramp.example/milletramp/internal/lab/report"
+	"milletramp.example/milletramp/internal/lab/rival"
+	"milletramp.example/milletramp/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/sim"
+	"milletramp.example/milletramp/internal/lab/sockets"
 )
 
 // Player says how scenarios are played.
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Rule names one of the binding rules.
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 const (
--- a/internal/lab/report/day.go
+++ b/internal/lab/report/day.go
@@ -6,7 +6,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"beechmill.example/beechmill/internal/lab/referee"
+	"milletramp.example/milletramp/internal/lab/referee"
 )
 
 // Day is one played and judged scenario.
--- a/internal/lab/report/meter.go
+++ b/internal/lab/report/meter.go
@@ -8,8 +8,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // fate is how a first try stands, its further tries included.
--- a/internal/lab/report/meter_test.go
+++ b/internal/lab/report/meter_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
 const day = `name = "x"
--- a/internal/lab/rival/rival.go
+++ b/internal/lab/rival/rival.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/lab/sim"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/lab/sim"
 )
 
 // Names are the rivals.
--- a/internal/lab/sim/known.go
+++ b/internal/lab/sim/known.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Believer is a decider that says which share of a class's attempts it takes a node to lose.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -12,11 +12,11 @@
 	"slices"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/lab/load"
-	"beechmill.example/beechmill/internal/lab/node"
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/lab/load"
+	"milletramp.example/milletramp/internal/lab/node"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Decider is what decides for one sidecar: the decision module, or a rival.
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -17,8 +17,8 @@
 	"syscall"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/standin"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/standin"
 )
 
 // process is one sidecar, over its lives.
--- a/internal/lab/sockets/sockets.go
+++ b/internal/lab/sockets/sockets.go
@@ -19,11 +19,11 @@
 	"syscall"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/load"
-	"beechmill.example/beechmill/internal/lab/node"
-	"beechmill.example/beechmill/internal/lab/plan"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/standin"
+	"milletramp.example/milletramp/internal/lab/load"
+	"milletramp.example/milletramp/internal/lab/node"
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/standin"
 )
 
 // Options are the parts of a run.
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 const (
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // writeRaw answers with text as it is, and waits for the other side to close.
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"beechmill.example/beechmill/internal/console"
+	"milletramp.example/milletramp/internal/console"
 )
 
 // budget shares out the descriptors that the process may hold. Danger: without any left, accepting fails for all.
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 // head is a good request's head without its end.
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 // leastIdle is how long a connection is idle before another may take its place. Danger: a burst of connections would
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 const (
--- a/internal/sidecar/family.go
+++ b/internal/sidecar/family.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/internal/console"
-	"beechmill.example/beechmill/internal/handover"
+	"milletramp.example/milletramp/internal/console"
+	"milletramp.example/milletramp/internal/handover"
 )
 
 // lookEvery is how often this process looks whether another of the sidecar has come or gone.
--- a/internal/sidecar/family_test.go
+++ b/internal/sidecar/family_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/handover"
+	"milletramp.example/milletramp/internal/handover"
 )
 
 // TestBesideAnother has a process start beside another of its sidecar with no list of servers: it does not listen before
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -9,8 +9,8 @@
 	"log/slog"
 	"time"
 
-	"beechmill.example/beechmill/internal/console"
-	"beechmill.example/beechmill/internal/fleet"
+	"milletramp.example/milletramp/internal/console"
+	"milletramp.example/milletramp/internal/fleet"
 )
 
 // fleetWithin bounds how long the fleet's part may take for a question that it answers from memory.
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/fleet"
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/fleet"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 const (
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"sync/atomic"
 
-	"beechmill.example/beechmill/internal/fleet"
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/internal/fleet"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 // ops is what the console asks of the sidecar.
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // The wait before a new address of discovery is asked again doubles from the first to the longest.
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/internal/console"
-	"beechmill.example/beechmill/internal/handover"
+	"milletramp.example/milletramp/internal/console"
+	"milletramp.example/milletramp/internal/handover"
 )
 
 const memoryShare = 0.6 // of the limit that the heap may grow to; the rest is for what is not heap
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 const (
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/internal/console"
+	"milletramp.example/milletramp/internal/console"
 )
 
 // hangup writes a configuration, has it read, and waits until one more was taken or turned down.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // TestEffects has the first attempt of each class end in each way, and sees whether the class is tried again.
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 var stopRounds = flag.Int("stop.rounds", 40, "rounds of TestStopUnderLoad")
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/internal/stats"
+	"milletramp.example/milletramp/internal/stats"
 )
 
 const (
--- a/internal/sidecar/terms.go
+++ b/internal/sidecar/terms.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/stats"
-	"beechmill.example/beechmill/internal/wire"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/stats"
+	"milletramp.example/milletramp/internal/wire"
 )
 
 // terms are the classes and tenants as clients name them now. They are replaced as a whole and never changed.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/wire"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 	"testing"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/wire"
 )
 
 func parsed(t *testing.T, text string) List {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -15,9 +15,9 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/load"
-	"beechmill.example/beechmill/internal/lab/record"
-	"beechmill.example/beechmill/internal/lab/scenario"
+	"milletramp.example/milletramp/internal/lab/load"
+	"milletramp.example/milletramp/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
 // Clients are the application next to one sidecar: they send what a source draws, when it is due, whatever becomes of
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Entry is one server of discovery's list, as the platform words it.
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Log gathers events of many goroutines, and keeps the time of a run. Its order is not that of time: sort before use.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/internal/lab/node"
-	"beechmill.example/beechmill/internal/lab/record"
+	"milletramp.example/milletramp/internal/lab/node"
+	"milletramp.example/milletramp/internal/lab/record"
 )
 
 // Known is what a node looks up about a request: the sidecar need not pass it on.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // Names maps the names that requests carry to indexes into the settings.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // Kind is the kind of an event line.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 const open = "OPEN_INSTANCE\t7\tareas=north,south\tmodels=big,small\tmy_zone=north\tordinal=1\tpeers_total=3\t" +
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"milletramp.example/milletramp/balance"
 )
 
 // Writer writes the actions of many instances. Errors are kept and returned by End.
