Hold a connection before a silent link's queue is filled, so that none comes up

Filling the queue gave up after a call of 20 ms; the accepting goroutine, late on a busy machine, then took one connection out of the queue, and the next one came up. Change: silence waits until one connection is held by the accepting goroutine, and asks the kernel (tcp_info) whether the queue is full.

--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Way is the condition of a link. Shares are of requests, each of which is hit by one trouble at most.
@@ -31,7 +33,8 @@
 	trickleRate  = 4        // bytes a second
 	piece        = 16 << 10 // bytes that a link takes up at once
 	normalQueue  = 128      // connections that wait to be accepted
-	silentProbes = 4
+	silentProbes = 8
+	fillTime     = 250 * time.Millisecond // until a connection that fills the queue has come up
 )
 
 // Link is a TCP relay between a sidecar and a node.
@@ -45,6 +48,7 @@
 	cond   *sync.Cond // the way changes
 	way    Way
 	ended  bool
+	held   bool // a connection has been accepted and waits until the link is not silent: none behind it is accepted
 	conns  map[*relayed]bool
 	fill   []net.Conn // they fill the listener's queue while the link is silent
 	owned  sync.WaitGroup
@@ -130,20 +134,61 @@
 	return err
 }
 
-// silence fills the listener's queue, so that further connections never come up, as with a machine that is gone.
+// silence fills the listener's queue, so that further connections never come up, as with a machine that is gone. Danger: what is
+// filled while the accepting goroutine still has a turn to come is taken out of the queue again, and one more connection comes up; so
+// one connection is held by it first, and what counts is what the kernel says of the queue, not how long a call took.
 func (k *Link) silence() {
 	if k.queue(0) != nil {
 		return // connections then come up and stay silent
 	}
 	for range silentProbes {
-		c, err := net.DialTimeout("tcp", k.Address(), 20*time.Millisecond)
-		if err != nil {
+		if waiting, err := k.waiting(); err != nil || waiting > 0 && k.holds() {
 			return
 		}
+		d := net.Dialer{Timeout: fillTime}
+		c, err := d.DialContext(k.ctx, "tcp", k.Address())
+		if err != nil {
+			continue // another connection is where this one would be, or the link has ended
+		}
 		k.mu.Lock()
-		k.fill = append(k.fill, c)
+		for !k.held && k.way.Silent && !k.ended { // c is there to be taken, or another is
+			k.cond.Wait()
+		}
+		over := !k.way.Silent || k.ended
+		if !over {
+			k.fill = append(k.fill, c)
+		}
 		k.mu.Unlock()
+		if over {
+			_ = c.Close()
+			return
+		}
+	}
+}
+
+// holds tells whether a connection has been accepted and waits for the link to speak.
+func (k *Link) holds() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.held
+}
+
+// waiting is how many connections have come up and wait to be accepted. For a socket that listens tcp_info has that in place of the
+// segments that are out (tcp_diag(7), tcp_get_info).
+func (k *Link) waiting() (int, error) {
+	raw, err := k.listener.SyscallConn()
+	if err != nil {
+		return 0, err
 	}
+	var info *unix.TCPInfo
+	var inner error
+	if err := raw.Control(func(fd uintptr) { info, inner = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		return 0, err
+	}
+	if inner != nil {
+		return 0, fmt.Errorf("queue of %s: %w", k.Address(), inner)
+	}
+	return int(info.Unacked), nil
 }
 
 // speaking waits until the link is not silent, and returns the way; false once it has ended.
@@ -163,7 +208,15 @@
 		if err != nil {
 			return
 		}
-		way, ok := k.speaking() // none is accepted while the link is silent
+		k.mu.Lock()
+		for k.way.Silent && !k.ended { // none is accepted while the link is silent
+			k.held = true
+			k.cond.Broadcast()
+			k.cond.Wait()
+		}
+		k.held = false
+		way, ok := k.way, !k.ended
+		k.mu.Unlock()
 		if !ok {
 			_ = c.Close()
 			return
--- a/internal/standin/link_test.go
+++ b/internal/standin/link_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -117,6 +119,43 @@
 	}
 }
 
+// TestSilenceFills: once a link has been told to be silent, one connection is held and the listener's queue is full, also where the
+// accepting goroutine has its turn late.
+func TestSilenceFills(t *testing.T) {
+	busy := make(chan struct{})
+	var beside sync.WaitGroup
+	for range 2 * runtime.GOMAXPROCS(0) {
+		beside.Add(1)
+		go func() {
+			defer beside.Done()
+			for {
+				select {
+				case <-busy:
+					return
+				default:
+				}
+			}
+		}()
+	}
+	defer beside.Wait()
+	defer close(busy)
+	to := answering(t)
+	for round := range 20 {
+		k, err := NewLink(SideAddress(0), to, Way{}, uint64(round))
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.Set(Way{Silent: true})
+		for range 2 {
+			runtime.Gosched() // the accepting goroutine takes what it can have
+		}
+		if n, err := k.waiting(); n != 1 || err != nil || !k.holds() {
+			t.Errorf("round %d: %d connections wait, held %v, error %v; want one that waits behind one that is held", round, n, k.holds(), err)
+		}
+		k.Close()
+	}
+}
+
 // TestSilenceResets has connections that were open when a link fell silent say nothing, and be reset once it is back.
 func TestSilenceResets(t *testing.T) {
 	k, err := NewLink(SideAddress(3), answering(t), Way{}, 1)
