--- a/internal/standin/link_test.go
+++ b/internal/standin/link_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -122,23 +123,19 @@
 // TestSilenceFills: once a link has been told to be silent, one connection is held and the listener's queue is full, also where the
 // accepting goroutine has its turn late.
 func TestSilenceFills(t *testing.T) {
-	busy := make(chan struct{})
+	var quiet atomic.Bool
 	var beside sync.WaitGroup
 	for range 2 * runtime.GOMAXPROCS(0) {
 		beside.Add(1)
 		go func() {
 			defer beside.Done()
-			for {
-				select {
-				case <-busy:
-					return
-				default:
-				}
+			for !quiet.Load() {
+				continue
 			}
 		}()
 	}
 	defer beside.Wait()
-	defer close(busy)
+	defer quiet.Store(true)
 	to := answering(t)
 	for round := range 20 {
 		k, err := NewLink(SideAddress(0), to, Way{}, uint64(round))
