--- /dev/null
+++ b/internal/fleet/council/founding_test.go
@@ -0,0 +1,366 @@
+package council
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"milletramp.example/milletramp/internal/fleet/policy"
+)
+
+// founderWorld is named deciders that say hello to each other, lose their folders and come back.
+type founderWorld struct {
+	t        *rapid.T
+	now      time.Duration
+	names    []string
+	machines map[string]*Founder // nil: down
+	folders  map[string]folder
+	ids      uint64
+	sent     []func()
+	founded  map[uint64]map[string]uint64 // by council: who has held it, and with which folder
+	lost     bool                         // some folder was lost
+}
+
+type folder struct {
+	self     Self
+	founding *Founding
+}
+
+func (w *founderWorld) start(name string) {
+	f := w.folders[name]
+	if f.self.ID == 0 {
+		w.ids++
+		f.self.ID = w.ids
+	}
+	f.self.Life++
+	w.folders[name] = f
+	m, err := NewFounder(name, f.self, w.names, first, f.founding)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.machines[name] = m
+}
+
+// hear has a machine take in a hello, and what is to be kept be kept.
+func (w *founderWorld) hear(name string, h Hello) {
+	m := w.machines[name]
+	if m == nil {
+		return
+	}
+	if err := m.Heard(w.now, h); err != nil && !errors.Is(err, ErrLeftOut) {
+		w.t.Fatal(err)
+	}
+	f := w.folders[name]
+	if f.founding != nil && m.Founding().Council() != f.founding.Council() {
+		w.t.Fatalf("%s was of %v and is of %v", name, f.founding, m.Founding())
+	}
+	if m.Founding() == nil {
+		return
+	}
+	f.founding = m.Founding()
+	w.folders[name] = f
+	if w.founded[f.founding.Council()] == nil {
+		w.founded[f.founding.Council()] = map[string]uint64{}
+	}
+	w.founded[f.founding.Council()][name] = f.self.ID
+	if f.founding.Deciders[name] != f.self.ID {
+		w.t.Fatalf("%s with folder %x is of %v", name, f.self.ID, f.founding)
+	}
+}
+
+// TestFoundedOnce: whatever gets lost of hellos and folders, no two councils ever have a majority of their own; one whose
+// folder is lost is of no council that it was of before; and where none is lost, all are of one.
+func TestFoundedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &founderWorld{t: t, now: time.Hour, names: []string{"a", "b", "c"}, machines: map[string]*Founder{}, folders: map[string]folder{},
+			founded: map[uint64]map[string]uint64{}}
+		if rapid.Bool().Draw(t, "five") {
+			w.names = append(w.names, "d", "e")
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			w.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			name := rapid.SampledFrom(w.names).Draw(t, "who")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				if w.machines[name] == nil {
+					w.start(name)
+				}
+			case 1:
+				w.machines[name] = nil
+			case 2:
+				// A majority that loses its folders at once is what the operators have to see to: of these nobody knows.
+				lives := 0
+				for _, f := range w.folders {
+					if f.founding != nil {
+						lives++
+					}
+				}
+				if rapid.IntRange(0, 3).Draw(t, "lost") == 0 && w.folders[name].self.ID > 0 && (lives == 0 || lives > 1) {
+					w.machines[name], w.lost = nil, true
+					delete(w.folders, name)
+				}
+			case 3, 4:
+				if len(w.sent) > 0 {
+					i := rapid.IntRange(0, len(w.sent)-1).Draw(t, "which")
+					do := w.sent[i]
+					w.sent = slices.Delete(w.sent, i, i+1)
+					do()
+				}
+			default:
+				if m := w.machines[name]; m != nil {
+					h := m.Hello()
+					for _, to := range w.names {
+						if to != name && rapid.IntRange(0, 3).Draw(t, "arrives") > 0 {
+							w.hear(to, h)
+						} else if to != name && len(w.sent) < 20 {
+							w.sent = append(w.sent, func() { w.hear(to, h) }) // late
+						}
+					}
+				}
+			}
+		}
+		// A decider is of one council only, so two with a majority need two folders of one name that both were of one.
+		var able []uint64
+		for council, of := range w.founded {
+			n := 0
+			for name, id := range of {
+				if f := w.folders[name]; f.self.ID == id && f.founding != nil && f.founding.Council() == council {
+					n++
+				}
+			}
+			if n > len(w.names)/2 {
+				able = append(able, council)
+			}
+		}
+		if len(able) > 1 {
+			t.Fatalf("councils %x each have a majority", able)
+		}
+		if w.lost {
+			return
+		}
+		for _, name := range w.names {
+			if w.machines[name] == nil {
+				w.start(name)
+			}
+		}
+		for range 2 {
+			for _, name := range w.names {
+				for _, to := range w.names {
+					if to != name {
+						w.hear(to, w.machines[name].Hello())
+					}
+				}
+			}
+		}
+		if len(w.founded) != 1 {
+			t.Fatalf("no folder was lost, all have heard each other, and there are councils %v", slices.Collect(maps.Keys(w.founded)))
+		}
+	})
+}
+
+// TestFounder: what it takes to found a council, and who is turned away.
+func TestFounder(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	machine := func(name string, id uint64, first string, known *Founding) *Founder {
+		t.Helper()
+		f, err := NewFounder(name, Self{id, 1}, names, []byte(first), known)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	a, b, c := machine("a", 1, "x", nil), machine("b", 2, "x", nil), machine("c", 3, "x", nil)
+	hear := func(f *Founder, now time.Duration, h Hello, want error) {
+		t.Helper()
+		if err := f.Heard(now, h); !errors.Is(err, want) {
+			t.Errorf("error %v, want %v", err, want)
+		}
+	}
+	hear(a, 1, b.Hello(), nil)
+	if a.Founding() != nil {
+		t.Error("two of three found a council")
+	}
+	hear(a, 1+helloFor, c.Hello(), nil)
+	if a.Founding() != nil {
+		t.Error("a hello that is too old counts")
+	}
+	hear(a, 1+helloFor, machine("b", 2, "y", nil).Hello(), ErrOtherFile)
+	hear(a, 1+helloFor, b.Hello(), nil)
+	if a.Founding() == nil || a.Founding().Deciders["c"] != 3 {
+		t.Fatalf("%v, all three are there", a.Founding())
+	}
+	hear(b, 1, a.Hello(), nil)
+	if b.Founding() == nil || b.Founding().Council() != a.Founding().Council() {
+		t.Errorf("%v, it is named in %v", b.Founding(), a.Founding())
+	}
+	// c comes back without its folder: both know it with another one.
+	lost := machine("c", 9, "x", nil)
+	hear(lost, 1, a.Hello(), ErrLeftOut)
+	hear(lost, 1, b.Hello(), ErrLeftOut)
+	if lost.Founding() != nil {
+		t.Errorf("%v without its folder", lost.Founding())
+	}
+	if _, err := NewFounder("c", Self{9, 1}, names, nil, a.Founding()); err == nil {
+		t.Error("another decider's folder is taken")
+	}
+	// It is given its place again, and comes back with what it has kept of that.
+	given := a.Hello()
+	given.Deciders = map[string]uint64{"a": 1, "b": 2, "c": 9}
+	hear(lost, 2, given, nil)
+	if f := lost.Founding(); f == nil || f.Council() != a.Founding().Council() || f.Known()["c"] != 9 {
+		t.Fatalf("%v, it was given its place", f)
+	}
+	if again, err := NewFounder("c", Self{9, 2}, names, nil, lost.Founding()); err != nil || again.Founding() == nil {
+		t.Errorf("%v, error %v", again, err)
+	}
+	for _, wrong := range [][]string{nil, {"a", "b"}, {"a", "b", "b"}, {"b", "c", "d"}, {"a", "b", "c", "d"}} {
+		if _, err := NewFounder("a", Self{1, 1}, wrong, nil, nil); err == nil {
+			t.Errorf("deciders %v are taken", wrong)
+		}
+	}
+	for _, h := range []Hello{{}, {Name: "z", ID: 4}, {Name: "a", ID: 1}, {Name: "b"}} {
+		if err := machine("a", 1, "x", nil).Heard(1, h); err == nil {
+			t.Errorf("%+v is taken", h)
+		}
+	}
+}
+
+// TestOlderFolder: a decider that comes back with a copy of its folder from before its last life is not heard, whatever it says; the
+// others go on.
+func TestOlderFolder(t *testing.T) {
+	f := newFleet(t, 5, 3, 2)
+	for range 600 {
+		f.step()
+	}
+	d := f.deciders[0]
+	older := d.kept
+	older.Entries = slices.Clone(older.Entries)
+	for range 2 { // two more lives, in which it promises more
+		d.start()
+		for range 300 {
+			f.step()
+		}
+		if f.propose(fmt.Sprint("text ", d.life)) == "" {
+			t.Fatal("nobody leads")
+		}
+		for range 200 {
+			f.step()
+		}
+	}
+	d.kept, d.life = older, 1
+	d.heard, d.forgets = map[uint64]uint64{}, true
+	d.start()
+	turned := 0
+	for _, o := range f.deciders[1:] {
+		text, err := d.machine.seal(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := o.machine.guard.open(text); errors.Is(err, errFormerLife) {
+			turned++
+		}
+	}
+	if turned != 2 {
+		t.Errorf("%d of 2 turn it away", turned)
+	}
+	for range 200 {
+		f.step()
+	}
+	if !errors.Is(d.machine.broken, ErrForgot) {
+		t.Errorf("it takes part: %v", d.machine.broken)
+	}
+	d.machine = nil
+	for range 600 {
+		f.step()
+	}
+	id := f.propose("without it")
+	for range 300 {
+		f.step()
+	}
+	if l := f.leader(); l == nil || l.machine.Ledger().Outcome(id).State != policy.InForce || f.broken != "" {
+		t.Errorf("the others do not go on: %s", f.broken)
+	}
+}
+
+// TestCutFolder: a decider that has lost entries of its present life finds that out from what the leader says is committed, and
+// takes part no more; the others go on.
+func TestCutFolder(t *testing.T) {
+	f := newFleet(t, 6, 3, 2)
+	for range 600 {
+		f.step()
+	}
+	for i := range 3 {
+		f.propose(fmt.Sprint("text ", i))
+		for range 200 {
+			f.step()
+		}
+	}
+	var d *decider
+	for _, o := range f.deciders {
+		if o != f.leader() {
+			d = o
+		}
+	}
+	d.kept.Entries = d.kept.Entries[:len(d.kept.Entries)-3]
+	d.kept.State.Commit = 1
+	d.forgets = true
+	d.start()
+	for range 300 {
+		f.step()
+	}
+	if !errors.Is(d.machine.broken, ErrForgot) {
+		t.Errorf("it takes part: %v", d.machine.broken)
+	}
+	id := f.propose("without it")
+	for range 300 {
+		f.step()
+	}
+	if l := f.leader(); l == nil || l.machine.Ledger().Outcome(id).State != policy.InForce || f.broken != "" {
+		t.Errorf("the others do not go on: %s", f.broken)
+	}
+}
+
+// TestGuard: envelopes of strangers, of another council and of former lives are turned away, and a further life is told once.
+func TestGuard(t *testing.T) {
+	f := newFleet(t, 7, 3, 1)
+	m := f.deciders[0].machine
+	send := func(council, from, life uint64) (bool, error) {
+		text, err := cbor.Marshal(Envelope{Council: council, From: from, Life: life})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, news, err := m.guard.open(text)
+		return len(news) > 0, err
+	}
+	c := founding.Council()
+	m.guard.lives = map[uint64]uint64{}
+	for _, tt := range []struct {
+		council, from, life uint64
+		news                bool
+		err                 error
+	}{
+		{c, 2, 5, true, nil}, {c, 2, 5, false, nil}, {c, 2, 4, false, errFormerLife}, {c, 2, 7, true, nil}, {c, 3, 1, true, nil},
+		{c + 1, 2, 9, false, errStranger}, {c, 4, 1, false, errStranger}, {c, 3, 0, false, errStranger},
+	} {
+		if news, err := send(tt.council, tt.from, tt.life); news != tt.news || !errors.Is(err, tt.err) {
+			t.Errorf("%+v: news %v, error %v", tt, news, err)
+		}
+	}
+	text, err := cbor.Marshal(Envelope{Council: c, From: 2, Life: 9, Lives: map[uint64]uint64{1: 3, 3: 6}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Step(text); !errors.Is(err, ErrForgot) || !errors.Is(m.Step(nil), ErrForgot) {
+		t.Errorf("error %v from one that another has heard of in a later life", err)
+	}
+	if _, err := New(0, Settings{Self: Self{1, 0}, Founding: founding, Terms: policy.UsualTerms}, slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("a decider without a life begins")
+	}
+}
--- /dev/null
+++ b/internal/fleet/disk/disk.go
@@ -0,0 +1,430 @@
+// Package disk keeps on disk what a decider must not forget: who it is, which council it is of, and its part of the council's log
+// (package council). It decides nothing.
+//
+// A folder holds one file of sealed records, each a length, a sum over it, a sum over the content, and the content as CBOR. A
+// record is one batch, written and synced before anything that rests on it is told. So at most the last one can be torn: that is
+// dropped, as nobody has heard of it. What is spoilt elsewhere is an error, never passed over: a decider that has forgotten what
+// it told others must not take part as if it knew. A file that has grown is written anew beside the old one, and takes its
+// place by its name.
+//
+// Not told apart: a file that somebody has cut at the end of a record. A folder of an earlier life is, by package council.
+package disk
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"milletramp.example/milletramp/internal/fleet/council"
+)
+
+const (
+	format     = 1
+	headBytes  = 4 + 4 + 8 // length, sum over the length, sum over the content
+	mostRecord = 64 << 20  // bytes of a record's content: a snapshot, or some documents
+	// A file is written anew once it has this many bytes, and twice those that it began with.
+	usualGrown = 4 << 20
+	nameStart  = "council-"
+	newEnd     = ".new"
+	lockName   = "lock"
+)
+
+// ErrSpoilt says that a file has something in its midst that was never written so. The decider cannot take part with it.
+var ErrSpoilt = errors.New("the folder is spoilt: give this decider an empty one and add it anew")
+
+// record is what a file is made of. The first of a file has all that held before it.
+type record struct {
+	Format   int               `cbor:"1,keyasint,omitempty"` // of the first
+	Self     *council.Self     `cbor:"2,keyasint,omitempty"`
+	Founding *council.Founding `cbor:"3,keyasint,omitempty"`
+	Heard    map[uint64]uint64 `cbor:"4,keyasint,omitempty"` // lives of others, by decider
+	State    []byte            `cbor:"5,keyasint,omitempty"`
+	Snapshot []byte            `cbor:"6,keyasint,omitempty"`
+	Entries  [][]byte          `cbor:"7,keyasint,omitempty"`
+}
+
+// Memory is what a folder holds.
+type Memory struct {
+	Self     council.Self
+	Founding *council.Founding // nil: it is of no council yet
+	Heard    map[uint64]uint64
+	Kept     council.Kept
+}
+
+// File is what a Log needs of a file. Tests put one in its place that fails.
+type File interface {
+	Write([]byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Log is an open folder.
+type Log struct {
+	dir    string
+	create func(path string) (File, error)
+	grown  int64
+	lock   *os.File
+
+	mu     sync.Mutex
+	file   File
+	number uint64
+	size   int64
+	began  int64 // size of the file's first record
+	memory Memory
+	broken error
+}
+
+// Open opens a folder, which it makes where there is none, for a further life of its decider. dropped is how many bytes of a torn
+// record were passed over. fresh is what a decider without any memory is to be called.
+func Open(dir string, fresh uint64) (l *Log, dropped int, err error) {
+	return open(dir, fresh, create, usualGrown)
+}
+
+func create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+}
+
+func open(dir string, fresh uint64, create func(string) (File, error), grown int64) (l *Log, dropped int, err error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, 0, fmt.Errorf("council's folder: %w", err)
+	}
+	l = &Log{dir: dir, create: create, grown: grown, memory: Memory{Heard: map[uint64]uint64{}}}
+	held, err := lock(filepath.Join(dir, lockName))
+	if err != nil {
+		return nil, 0, err
+	}
+	l.lock = held
+	defer func() {
+		if err != nil {
+			_ = held.Close()
+		}
+	}()
+	numbers, err := l.files()
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(numbers) > 0 { // a file gets its name when it is whole, so the newest one has all
+		l.number = numbers[len(numbers)-1]
+		if dropped, err = l.read(l.path(l.number)); err != nil {
+			return nil, 0, err
+		}
+	}
+	if l.memory.Self.ID == 0 {
+		l.memory.Self.ID = fresh
+	}
+	l.memory.Self.Life++
+	// Danger: what was torn is never appended to; the file is written anew, with the new life in it.
+	if err := l.rewrite(); err != nil {
+		return nil, 0, err
+	}
+	for _, n := range numbers {
+		_ = os.Remove(l.path(n)) // one that stays is passed over
+	}
+	return l, dropped, nil
+}
+
+func (l *Log) path(number uint64) string {
+	return filepath.Join(l.dir, fmt.Sprintf("%s%016x", nameStart, number))
+}
+
+// files lists the numbers of the whole files, in order, and removes what was not finished.
+func (l *Log) files() (numbers []uint64, err error) {
+	entries, err := os.ReadDir(l.dir)
+	if err != nil {
+		return nil, fmt.Errorf("council's folder: %w", err)
+	}
+	for _, e := range entries {
+		rest, ours := strings.CutPrefix(e.Name(), nameStart)
+		if !ours {
+			continue
+		}
+		if strings.HasSuffix(rest, newEnd) {
+			if err := os.Remove(filepath.Join(l.dir, e.Name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
+				return nil, fmt.Errorf("council's folder: %w", err)
+			}
+			continue
+		}
+		var n uint64
+		if _, err := fmt.Sscanf(rest, "%016x", &n); err != nil {
+			return nil, fmt.Errorf("council's folder: %s: no file of this program", e.Name())
+		}
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+// Memory is what the folder holds. Entries and snapshot are the caller's to read alone.
+func (l *Log) Memory() Memory {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.memory
+	m.Kept.Entries, m.Heard = slices.Clone(m.Kept.Entries), maps.Clone(m.Heard)
+	return m
+}
+
+// read takes in a file.
+func (l *Log) read(path string) (dropped int, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, fmt.Errorf("council's folder: %w", err)
+	}
+	for at := 0; at < len(text); {
+		content, size, err := next(text[at:])
+		if err != nil {
+			return 0, fmt.Errorf("%s: byte %d: %w", path, at, err)
+		}
+		if size == 0 {
+			dropped = len(text) - at
+			break
+		}
+		var r record
+		if err := cbor.Unmarshal(content, &r); err != nil {
+			return 0, fmt.Errorf("%s: byte %d: %w: %w", path, at, ErrSpoilt, err)
+		}
+		if at == 0 && r.Format != format {
+			return 0, fmt.Errorf("%s: format %d, this program knows %d", path, r.Format, format)
+		}
+		if err := l.memory.take(r); err != nil {
+			return 0, fmt.Errorf("%s: byte %d: %w: %w", path, at, ErrSpoilt, err)
+		}
+		at += size
+	}
+	if l.memory.Self.ID == 0 { // its first record was whole before it had its name
+		return 0, fmt.Errorf("%s: %w: it has no first record", path, ErrSpoilt)
+	}
+	return dropped, nil
+}
+
+// next returns the content of the record that text begins with, and the record's size; 0: it is torn.
+func next(text []byte) (content []byte, size int, err error) {
+	if len(text) < headBytes {
+		return nil, 0, nil
+	}
+	length := binary.LittleEndian.Uint32(text)
+	if binary.LittleEndian.Uint32(text[4:]) != uint32(xxhash.Sum64(text[:4])) || length > mostRecord {
+		if len(bytes.Trim(text[headBytes:], "\x00")) == 0 { // the file got its length before its content
+			return nil, 0, nil
+		}
+		return nil, 0, ErrSpoilt
+	}
+	if size = headBytes + int(length); len(text) < size {
+		return nil, 0, nil
+	}
+	if content = text[headBytes:size]; binary.LittleEndian.Uint64(text[8:]) != xxhash.Sum64(content) {
+		if len(text) == size || len(bytes.Trim(text[size:], "\x00")) == 0 { // the last one
+			return nil, 0, nil
+		}
+		return nil, 0, ErrSpoilt
+	}
+	return content, size, nil
+}
+
+// take adds a record.
+func (m *Memory) take(r record) error {
+	if r.Self != nil {
+		m.Self = *r.Self
+	}
+	if r.Founding != nil {
+		m.Founding = r.Founding
+	}
+	for id, life := range r.Heard {
+		m.Heard[id] = max(m.Heard[id], life)
+	}
+	if r.State != nil {
+		m.Kept.State = raftpb.HardState{}
+		if err := m.Kept.State.Unmarshal(r.State); err != nil {
+			return err
+		}
+	}
+	if r.Snapshot != nil {
+		m.Kept.Snapshot = raftpb.Snapshot{}
+		if err := m.Kept.Snapshot.Unmarshal(r.Snapshot); err != nil {
+			return err
+		}
+		m.Kept.Entries = after(m.Kept.Entries, m.Kept.Snapshot.Metadata.Index)
+	}
+	if len(r.Entries) == 0 {
+		return nil
+	}
+	entries := make([]raftpb.Entry, len(r.Entries))
+	for i, text := range r.Entries {
+		if err := entries[i].Unmarshal(text); err != nil {
+			return err
+		}
+	}
+	kept := m.Kept.Entries
+	if i := slices.IndexFunc(kept, func(e raftpb.Entry) bool { return e.Index >= entries[0].Index }); i >= 0 {
+		kept = kept[:i]
+	}
+	last := m.Kept.Snapshot.Metadata.Index
+	if len(kept) > 0 {
+		last = kept[len(kept)-1].Index
+	}
+	if entries[0].Index > last+1 && last > 0 {
+		return fmt.Errorf("entry %d follows entry %d", entries[0].Index, last)
+	}
+	m.Kept.Entries = append(slices.Clip(kept), entries...)
+	return nil
+}
+
+// after returns the entries behind an index.
+func after(entries []raftpb.Entry, index uint64) []raftpb.Entry {
+	i := slices.IndexFunc(entries, func(e raftpb.Entry) bool { return e.Index > index })
+	if i < 0 {
+		return nil
+	}
+	return entries[i:]
+}
+
+// Keep writes a batch down. Danger: once anything has failed nothing may be kept any more: what a failed write or sync has left on
+// the disk is not known.
+func (l *Log) Keep(b council.Batch) error {
+	r, err := recordOf(b)
+	if err != nil {
+		return err
+	}
+	return l.append(r)
+}
+
+// Found writes down which council the decider is of.
+func (l *Log) Found(f council.Founding) error { return l.append(record{Founding: &f}) }
+
+// Compact writes down a snapshot, which takes the place of the entries up to it.
+func (l *Log) Compact(s raftpb.Snapshot) error { return l.Keep(council.Batch{Snapshot: &s}) }
+
+func recordOf(b council.Batch) (r record, err error) {
+	r.Heard = b.Heard
+	if b.State != nil {
+		if r.State, err = b.State.Marshal(); err != nil {
+			return r, fmt.Errorf("council's folder: state: %w", err)
+		}
+	}
+	if b.Snapshot != nil {
+		if r.Snapshot, err = b.Snapshot.Marshal(); err != nil {
+			return r, fmt.Errorf("council's folder: snapshot: %w", err)
+		}
+	}
+	for _, e := range b.Entries {
+		text, err := e.Marshal()
+		if err != nil {
+			return r, fmt.Errorf("council's folder: entry %d: %w", e.Index, err)
+		}
+		r.Entries = append(r.Entries, text)
+	}
+	return r, nil
+}
+
+func seal(r record) ([]byte, error) {
+	content, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("council's folder: %w", err)
+	}
+	if len(content) > mostRecord {
+		return nil, fmt.Errorf("council's folder: a record of %d bytes, %d are allowed", len(content), mostRecord)
+	}
+	text := make([]byte, headBytes, headBytes+len(content))
+	binary.LittleEndian.PutUint32(text, uint32(len(content)))
+	binary.LittleEndian.PutUint32(text[4:], uint32(xxhash.Sum64(text[:4])))
+	binary.LittleEndian.PutUint64(text[8:], xxhash.Sum64(content))
+	return append(text, content...), nil
+}
+
+func (l *Log) append(r record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken != nil {
+		return l.broken
+	}
+	text, err := seal(r)
+	if err != nil {
+		return err
+	}
+	if _, err = l.file.Write(text); err == nil {
+		err = l.file.Sync()
+	}
+	if err != nil {
+		l.broken = fmt.Errorf("council's folder %s, nothing is kept any more: %w", l.dir, err)
+		return l.broken
+	}
+	l.size += int64(len(text))
+	if err := l.memory.take(r); err != nil {
+		l.broken = fmt.Errorf("council's folder %s: %w", l.dir, err)
+		return l.broken
+	}
+	if l.size > l.grown && l.size > 2*l.began {
+		former := l.path(l.number)
+		if err := l.rewrite(); err != nil {
+			l.broken = err
+			return err
+		}
+		_ = os.Remove(former) // one that stays is passed over
+	}
+	return nil
+}
+
+// rewrite begins a further file with all that is held. Whatever fails, the former one is as it was.
+func (l *Log) rewrite() error {
+	m := l.memory
+	r, err := recordOf(council.Batch{State: &m.Kept.State, Snapshot: &m.Kept.Snapshot, Entries: m.Kept.Entries})
+	if err != nil {
+		return err
+	}
+	r.Format, r.Self, r.Founding, r.Heard = format, &m.Self, m.Founding, m.Heard
+	text, err := seal(r)
+	if err != nil {
+		return err
+	}
+	path := l.path(l.number + 1)
+	f, err := l.create(path + newEnd)
+	if err != nil {
+		return fmt.Errorf("council's folder: %w", err)
+	}
+	if _, err = f.Write(text); err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = os.Rename(path+newEnd, path)
+	}
+	if err == nil {
+		err = syncFolder(l.dir)
+	}
+	if err != nil {
+		return errors.Join(fmt.Errorf("council's folder: %w", err), f.Close())
+	}
+	if l.file != nil {
+		_ = l.file.Close() // it was synced, and nothing more is written to it
+	}
+	l.file, l.number, l.size, l.began = f, l.number+1, int64(len(text)), int64(len(text))
+	return nil
+}
+
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// Close lets go of the folder.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken == nil {
+		l.broken = errors.New("council's folder: closed")
+	}
+	return errors.Join(l.file.Close(), l.lock.Close())
+}
--- /dev/null
+++ b/internal/fleet/disk/disk_test.go
@@ -0,0 +1,355 @@
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"pgregory.net/rapid"
+
+	"milletramp.example/milletramp/internal/fleet/council"
+)
+
+var founding = council.Founding{Deciders: map[string]uint64{"a": 1, "b": 2, "c": 3}, First: []byte("first")}
+
+// begin opens a folder whose file is written anew once it has so many bytes.
+func begin(t rapid.TB, dir string, grown int64) (*Log, int) {
+	t.Helper()
+	l, dropped, err := open(dir, 1, create, grown)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, dropped
+}
+
+func done(t rapid.TB, l *Log) {
+	t.Helper()
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// entries are those from index to index, of a term.
+func entries(from, to, term uint64) (all []raftpb.Entry) {
+	for i := from; i <= to; i++ {
+		all = append(all, raftpb.Entry{Index: i, Term: term, Data: fmt.Append(nil, "entry ", i, " of ", term)})
+	}
+	return all
+}
+
+// batches are a decider's, with entries that are overwritten and a snapshot.
+func batches() []council.Batch {
+	state := func(term, vote, commit uint64) *raftpb.HardState {
+		return &raftpb.HardState{Term: term, Vote: vote, Commit: commit}
+	}
+	return []council.Batch{
+		{State: state(1, 2, 0), Heard: map[uint64]uint64{2: 4}},
+		{State: state(1, 2, 1), Entries: entries(2, 9, 1)},
+		{State: state(2, 3, 4), Entries: entries(6, 7, 2)},
+		{Snapshot: &raftpb.Snapshot{Data: []byte("all"), Metadata: raftpb.SnapshotMetadata{Index: 5, Term: 1}}},
+		{Entries: entries(8, 12, 2), Heard: map[uint64]uint64{3: 2}},
+		{State: state(5, 0, 12)},
+	}
+}
+
+// only is the path of the one file that a folder has.
+func only(t rapid.TB, dir string) string {
+	t.Helper()
+	found, err := filepath.Glob(filepath.Join(dir, nameStart+"*"))
+	if err != nil || len(found) != 1 {
+		t.Fatalf("files %v, error %v", found, err)
+	}
+	return found[0]
+}
+
+// same tells whether two memories hold the same, but for their lives.
+func same(a, b Memory) bool {
+	a.Self.Life, b.Self.Life = 0, 0
+	if len(a.Kept.Entries)+len(b.Kept.Entries) == 0 {
+		a.Kept.Entries, b.Kept.Entries = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+// written is a folder's file after each batch: how long it was, and what it held.
+func written(t rapid.TB, dir string) (text []byte, sizes []int64, held []Memory) {
+	t.Helper()
+	l, _ := begin(t, dir, usualGrown)
+	if err := l.Found(founding); err != nil {
+		t.Fatal(err)
+	}
+	note := func() { sizes, held = append(sizes, l.size), append(held, l.Memory()) }
+	note()
+	for _, b := range batches() {
+		if err := l.Keep(b); err != nil {
+			t.Fatal(err)
+		}
+		note()
+	}
+	done(t, l)
+	text, err := os.ReadFile(only(t, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text, sizes, held
+}
+
+// TestCutAnywhere cuts the file at every byte: what was kept whole is there, nothing else is, and it goes on from there.
+func TestCutAnywhere(t *testing.T) {
+	text, sizes, held := written(t, t.TempDir())
+	for cut := range len(text) + 1 {
+		for _, zeros := range []int{0, 40} { // as a file that had got its length
+			dir := t.TempDir()
+			if err := os.WriteFile(filepath.Join(dir, nameStart+"0000000000000001"), append(bytes.Clone(text[:cut]), make([]byte, zeros)...), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			l, _, err := open(dir, 9, create, usualGrown)
+			last := -1
+			for i, size := range sizes {
+				if int64(cut) >= size {
+					last = i
+				}
+			}
+			if last < 0 {
+				if err == nil {
+					last, err = 0, l.Close() // of what it began with there is no size
+					if got := l.Memory(); got.Founding != nil || got.Self.ID != 1 || err != nil {
+						t.Errorf("cut at %d: %+v, error %v", cut, got, err)
+					}
+				} else if !errors.Is(err, ErrSpoilt) {
+					t.Errorf("cut at %d: %v", cut, err)
+				}
+				continue
+			}
+			if err != nil {
+				t.Fatalf("cut at %d with %d zeros: %v", cut, zeros, err)
+			}
+			if zeros > 0 && last+1 < len(held) && same(l.Memory(), held[last+1]) {
+				last++ // what was missing of it was zeros
+			}
+			if got := l.Memory(); !same(got, held[last]) || got.Self.Life != 2 {
+				t.Errorf("cut at %d: %+v, want %+v", cut, got, held[last])
+			}
+			if err := l.Keep(council.Batch{State: &raftpb.HardState{Term: 99}}); err != nil {
+				t.Error(err)
+			}
+			done(t, l)
+			again, _ := begin(t, dir, usualGrown)
+			if got := again.Memory(); got.Kept.State.Term != 99 || len(got.Kept.Entries) != len(held[last].Kept.Entries) {
+				t.Errorf("cut at %d, and gone on: %+v", cut, got)
+			}
+			done(t, again)
+		}
+	}
+}
+
+// TestSpoiltAnywhere changes each byte: but in the last record, which nobody may have heard of, that is found.
+func TestSpoiltAnywhere(t *testing.T) {
+	text, sizes, held := written(t, t.TempDir())
+	before := sizes[len(sizes)-2] // where the last record begins
+	for at := range text {
+		spoilt := bytes.Clone(text)
+		spoilt[at] ^= 0x20
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, nameStart+"0000000000000001"), spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		l, dropped, err := open(dir, 9, create, usualGrown)
+		switch {
+		case err == nil && (int64(at) < before || dropped == 0 || !same(l.Memory(), held[len(held)-2])):
+			t.Errorf("byte %d: taken, with %d dropped", at, dropped)
+		case err != nil && !errors.Is(err, ErrSpoilt):
+			t.Errorf("byte %d: %v", at, err)
+		}
+		if err == nil {
+			done(t, l)
+		}
+	}
+}
+
+// full is a file on a disk with little room.
+type full struct {
+	File
+	room *int
+}
+
+var errFull = errors.New("no space left")
+
+func (f full) Write(text []byte) (int, error) {
+	n := min(len(text), *f.room)
+	*f.room -= n
+	if _, err := f.File.Write(text[:n]); err != nil || n == len(text) {
+		return n, err
+	}
+	return n, errFull
+}
+
+// TestFullDisk: once the disk is full nothing is kept any more, even if there is room again; and what was kept is there.
+func TestFullDisk(t *testing.T) {
+	for room := 100; room < 3000; room += 13 {
+		dir, left := t.TempDir(), room
+		l, _, err := open(dir, 1, func(path string) (File, error) {
+			f, err := create(path)
+			return full{f, &left}, err
+		}, 600)
+		if err != nil {
+			if !errors.Is(err, errFull) {
+				t.Fatal(err)
+			}
+			continue
+		}
+		want := l.Memory() // as it is to be, worked out beside the folder
+		for _, b := range append(batches(), batches()[4:]...) {
+			if err = l.Keep(b); err != nil {
+				break
+			}
+			r, failed := recordOf(b)
+			if failed = errors.Join(failed, want.take(r)); failed != nil {
+				t.Fatal(failed)
+			}
+		}
+		if err != nil {
+			left = 1 << 20
+			if l.Keep(batches()[0]) == nil || !errors.Is(err, errFull) {
+				t.Errorf("room for %d bytes: kept after %v", room, err)
+			}
+		}
+		done(t, l)
+		again, _ := begin(t, dir, 600)
+		if got := again.Memory(); !same(got, want) && err == nil {
+			t.Errorf("room for %d bytes: %+v, kept %+v", room, got, want)
+		} else if got.Kept.State.Term < want.Kept.State.Term || got.Kept.Snapshot.Metadata.Index < want.Kept.Snapshot.Metadata.Index {
+			t.Errorf("room for %d bytes: %+v, was kept %+v", room, got, want)
+		}
+		done(t, again)
+	}
+}
+
+// TestAsRaftKeeps drives the folder and raft's own storage with the same drawn batches, through rewrites and new lives.
+func TestAsRaftKeeps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "disk")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(dir)
+		model := raft.NewMemoryStorage()
+		l, _ := begin(t, dir, 500)
+		defer func() { done(t, l) }()
+		term := uint64(1)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			first, _ := model.FirstIndex()
+			last, _ := model.LastIndex()
+			var b council.Batch
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				term += uint64(rapid.IntRange(0, 2).Draw(t, "terms"))
+				b.State = &raftpb.HardState{Term: term, Vote: uint64(step), Commit: first}
+				_ = model.SetHardState(*b.State)
+			case 1, 2:
+				from := rapid.Uint64Range(first, last+1).Draw(t, "from")
+				b.Entries = entries(from, from+rapid.Uint64Range(0, 6).Draw(t, "more"), term)
+				if err := model.Append(b.Entries); err != nil {
+					t.Fatal(err)
+				}
+			case 3:
+				if last < first {
+					continue
+				}
+				at := rapid.Uint64Range(first, last).Draw(t, "at")
+				s, err := model.CreateSnapshot(at, nil, []byte("all"))
+				if err != nil {
+					continue // an older one
+				}
+				b.Snapshot = &s
+				if err := model.Compact(at); err != nil {
+					t.Fatal(err)
+				}
+			case 4:
+				done(t, l)
+				l, _ = begin(t, dir, 500)
+				continue
+			case 5:
+				b.Snapshot = &raftpb.Snapshot{Data: []byte("another's"), Metadata: raftpb.SnapshotMetadata{Index: last + 3, Term: term}}
+				if err := model.ApplySnapshot(*b.Snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := l.Keep(b); err != nil {
+				t.Fatal(err)
+			}
+			got := l.Memory().Kept
+			first, _ = model.FirstIndex()
+			last, _ = model.LastIndex()
+			var want []raftpb.Entry
+			if last >= first {
+				if want, err = model.Entries(first, last+1, 1<<30); err != nil {
+					t.Fatal(err)
+				}
+			}
+			state, _, _ := model.InitialState()
+			snapshot, _ := model.Snapshot()
+			if fmt.Sprint(got.Entries) != fmt.Sprint(want) || got.State != state || got.Snapshot.Metadata.Index != snapshot.Metadata.Index {
+				t.Fatalf("kept %v, %v, snapshot %d; want %v, %v, %d", got.Entries, got.State, got.Snapshot.Metadata.Index, want, state, snapshot.Metadata.Index)
+			}
+		}
+	})
+}
+
+// TestFolder: one process at a time; a folder keeps its decider's id and counts its lives; of two whole files the newer counts; what
+// was not finished goes; and what is no file of ours is an error.
+func TestFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "new")
+	l, _ := begin(t, dir, usualGrown)
+	if _, _, err := Open(dir, 7); err == nil {
+		t.Error("two processes have one folder")
+	}
+	if err := l.Found(founding); err != nil {
+		t.Fatal(err)
+	}
+	done(t, l)
+	if err := l.Found(founding); err == nil {
+		t.Error("a closed folder keeps")
+	}
+	former, err := os.ReadFile(only(t, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, _, err = Open(dir, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := l.Memory(); m.Self != (council.Self{ID: 1, Life: 2}) || m.Founding.Council() != founding.Council() {
+		t.Errorf("%+v", m)
+	}
+	if err := l.Keep(batches()[0]); err != nil {
+		t.Fatal(err)
+	}
+	done(t, l)
+	for name, text := range map[string][]byte{nameStart + "0000000000000001": former, nameStart + "00000000000000ff" + newEnd: {1, 2}} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l, _, err = Open(dir, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := l.Memory(); m.Self.Life != 3 || m.Kept.State.Term != 1 || m.Heard[2] != 4 {
+		t.Errorf("%+v", m)
+	}
+	done(t, l)
+	only(t, dir)
+	if err := os.WriteFile(filepath.Join(dir, nameStart+"notes"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(dir, 7); err == nil {
+		t.Error("a file of somebody else passed for one")
+	}
+}
--- /dev/null
+++ b/internal/fleet/policy/holder.go
@@ -0,0 +1,81 @@
+package policy
+
+import "time"
+
+// Holder is a sidecar's side of the promises: under which policy it may take a request now, if under any.
+type Holder struct {
+	name    string
+	life    uint64
+	terms   Terms
+	heard   Stamp
+	checked uint64
+	fault   string
+	have    map[uint64]bool // documents that it can run
+	number  uint64
+	until   Time
+	next    uint64
+	from    Time
+	end     Time // of next
+}
+
+// NewHolder returns the side of a process that has nothing yet, and so serves nothing.
+func NewHolder(name string, life uint64, t Terms) *Holder {
+	return &Holder{name: name, life: life, terms: t, have: map[uint64]bool{}}
+}
+
+// Ask returns the question to be sent now. The host notes the time: the promise counts from it.
+func (h *Holder) Ask() Question {
+	return Question{Sidecar: h.name, Life: h.life, Heard: h.heard, Checked: h.checked, Fault: h.fault}
+}
+
+// Checked takes in that a document was read whole with the code that runs it; fault says what is wrong with it, "" nothing.
+func (h *Holder) Checked(number uint64, fault string) {
+	h.checked, h.fault = number, fault
+	if fault == "" {
+		h.have[number] = true
+	}
+	for n := range h.have { // what is neither served nor to come is of no use
+		if n != h.number && n != h.next && n != h.checked {
+			delete(h.have, n)
+		}
+	}
+}
+
+// Told takes in an answer to the question that was sent at a time. It returns a document that is to be got and checked, 0
+// where there is none. Danger: answers come late and in any order; a later one, which may promise less, has come already.
+func (h *Holder) Told(now, sent Time, g Grant) (check uint64) {
+	if g.Stamp.Compare(h.heard) <= 0 {
+		return 0
+	}
+	h.heard = g.Stamp
+	h.number, h.until, h.next = g.Number, sent+h.terms.shorter(g.For), 0
+	if g.Next > 0 {
+		// It ends the one at the earliest and begins the other at the latest that the switch can be.
+		h.until = min(h.until, sent+h.terms.shorter(g.In))
+		h.next, h.from, h.end = g.Next, now+h.terms.longer(g.In), sent+h.terms.shorter(g.In+g.After)
+	}
+	switch {
+	case g.Number > 0 && !h.have[g.Number]:
+		return g.Number
+	case g.Next > 0 && !h.have[g.Next]:
+		return g.Next
+	case g.Check > h.checked:
+		return g.Check
+	}
+	return 0
+}
+
+// Serves tells under which policy a request may be taken now. Danger: the time must be read before each request, behind
+// whatever may have stopped the process. wait is how long a request would have to wait for the next policy, where that is
+// known.
+func (h *Holder) Serves(now Time) (number uint64, wait time.Duration, ok bool) {
+	switch {
+	case h.number > 0 && now < h.until && h.have[h.number]:
+		return h.number, 0, true
+	case h.next > 0 && now >= h.from && now < h.end && h.have[h.next]:
+		return h.next, 0, true
+	case h.next > 0 && now < h.from && h.have[h.next]:
+		return 0, h.from - now, false
+	}
+	return 0, 0, false
+}
--- /dev/null
+++ b/internal/fleet/policy/ledger_test.go
@@ -0,0 +1,104 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestLedger says what each entry does in each state, and what it does not.
+func TestLedger(t *testing.T) {
+	propose := func(id string, follows uint64, text string) Entry {
+		return Entry{Propose: &Propose{ID: id, Author: "someone", Follows: follows, Text: []byte(text)}}
+	}
+	refuse := func(n uint64) Entry { return Entry{Refuse: &Refuse{n, "n1: no"}} }
+	for _, tt := range []struct {
+		name    string
+		log     []Entry
+		state   State // of the first proposal
+		inForce uint64
+	}{
+		{"nothing", nil, Unknown, 1},
+		{"proposed", []Entry{propose("a", 1, "x")}, Proposed, 1},
+		{"proposed twice under one id", []Entry{propose("a", 1, "x"), propose("a", 1, "y")}, Proposed, 1},
+		{"it follows another", []Entry{propose("a", 2, "x")}, Refused, 1},
+		{"no text", []Entry{propose("a", 1, "")}, Refused, 1},
+		{"refused", []Entry{propose("a", 1, "x"), refuse(2)}, Refused, 1},
+		{"another's refusal", []Entry{propose("a", 1, "x"), refuse(3)}, Proposed, 1},
+		{"committed", []Entry{propose("a", 1, "x"), {Commit: 2}}, Committed, 1},
+		{"refused too late", []Entry{propose("a", 1, "x"), {Commit: 2}, refuse(2)}, Committed, 1},
+		{"switched before it was committed", []Entry{propose("a", 1, "x"), {Switch: 2}, {InForce: 2}}, Proposed, 1},
+		{"in force before it switched", []Entry{propose("a", 1, "x"), {Commit: 2}, {InForce: 2}}, Committed, 1},
+		{"in force", []Entry{propose("a", 1, "x"), {Commit: 2}, {Switch: 2}, {InForce: 2}}, InForce, 2},
+		{"the same again", []Entry{propose("a", 1, "x"), {Commit: 2}, {Switch: 2}, {InForce: 2}, {InForce: 2}, {Commit: 2}}, InForce, 2},
+		{"two authors at once", []Entry{propose("a", 1, "x"), propose("b", 1, "y"), {Commit: 2}, {Switch: 2}, {InForce: 2}}, InForce, 2},
+		{"a number is not given again", []Entry{propose("a", 1, "x"), refuse(2), propose("b", 1, "y"), {Commit: 2}}, Refused, 1},
+	} {
+		l := NewLedger([]byte("first"))
+		for _, e := range tt.log {
+			l.Apply(e)
+		}
+		if got := l.Outcome("a"); got.State != tt.state || l.InForce().Number != tt.inForce {
+			t.Errorf("%s: %v, %d in force; want %v, %d", tt.name, got.State, l.InForce().Number, tt.state, tt.inForce)
+		}
+	}
+	l := NewLedger([]byte("first"))
+	for i := range 3 * keptOutcomes {
+		l.Apply(propose(fmt.Sprint(i), 99, "x"))
+	}
+	if len(l.outcomes) != keptOutcomes || l.Outcome("0").State != Unknown {
+		t.Errorf("%d answers are kept", len(l.outcomes))
+	}
+	l.Apply(propose("a", 1, "x"))
+	for _, e := range []Entry{{Commit: 2}, {Switch: 2}, {InForce: 2}} {
+		l.Apply(e)
+	}
+	if d, ok := l.Former(1); !ok || string(d.Text) != "first" || d.Digest == l.InForce().Digest {
+		t.Errorf("%v, %v", d, ok)
+	}
+}
+
+// TestHolderTakesTheLatest: answers in any order leave the holder where the one of the highest stamp alone would.
+func TestHolderTakesTheLatest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var grants []Grant
+		for i := range rapid.IntRange(1, 8).Draw(t, "answers") {
+			grants = append(grants, Grant{Stamp: Stamp{uint64(i/3 + 1), uint64(i + 1)}, Number: uint64(rapid.IntRange(0, 3).Draw(t, "number")),
+				For: time.Duration(rapid.IntRange(0, 3000).Draw(t, "for")) * time.Millisecond})
+		}
+		make := func() *Holder {
+			h := NewHolder("n", 1, UsualTerms)
+			for n := range uint64(4) {
+				h.have[n] = true
+			}
+			return h
+		}
+		one, all := make(), make()
+		one.Told(time.Hour, time.Hour, grants[len(grants)-1])
+		for _, g := range rapid.Permutation(grants).Draw(t, "order") {
+			all.Told(time.Hour, time.Hour, g)
+		}
+		for _, at := range []Time{0, time.Second, 2 * time.Second, 4 * time.Second} {
+			n1, _, ok1 := one.Serves(time.Hour + at)
+			n2, _, ok2 := all.Serves(time.Hour + at)
+			if n1 != n2 || ok1 != ok2 {
+				t.Errorf("after %v: %d, %v and %d, %v", at, n1, ok1, n2, ok2)
+			}
+		}
+	})
+}
+
+// TestTerms turns down what no change could keep to.
+func TestTerms(t *testing.T) {
+	if err := UsualTerms.Check(); err != nil {
+		t.Error(err)
+	}
+	for _, bad := range []Terms{{}, {Length: time.Second, Short: time.Second}, {Length: time.Second, Short: time.Millisecond},
+		{Length: time.Second, Short: 100 * time.Millisecond, Drift: 0.5}, {Length: time.Second, Short: 100 * time.Millisecond, Drift: -1}} {
+		if bad.Check() == nil {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+}
