--- /dev/null
+++ b/internal/fleet/seat/seat.go
@@ -0,0 +1,359 @@
+// Package seat is a decider's place in the council: it finds or founds the council (council.Founder), runs its part of it
+// (council.Machine), and has its folder (package disk) keep whatever must outlast this life before anything that rests on it is told. It
+// is stepped by one goroutine; what it waits for is the folder alone.
+package seat
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/disk"
+	"milletramp.example/milletramp/internal/fleet/policy"
+)
+
+// Time is a reading of the host's monotonic clock.
+type Time = time.Duration
+
+const (
+	helloEvery = 10 * council.TickEvery
+	waitsFor   = 4 * helloEvery // one that waits for a place is heard of within this
+	mostText   = 8 << 20        // bytes of a message: entries and a snapshot
+	mostName   = 64             // bytes of a decider's
+)
+
+// Folder keeps what outlasts a life. *disk.Log is one.
+type Folder interface {
+	Memory() disk.Memory
+	Found(council.Founding) error
+	Keep(council.Batch) error
+	Compact(raftpb.Snapshot) error
+}
+
+// Settings are from the operator's file.
+type Settings struct {
+	Name  string
+	Named []string // all deciders, this one among them
+	First []byte   // the policy in force before any change
+	Terms policy.Terms
+}
+
+// packet is what seats send each other: exactly one of its fields is set.
+type packet struct {
+	Hello  *council.Hello `cbor:"1,keyasint,omitempty"`
+	Sealed []byte         `cbor:"2,keyasint,omitempty"`
+}
+
+// Message is for another decider.
+type Message struct {
+	To   string
+	Text []byte
+}
+
+// Actions are what is to be done after an event.
+type Actions struct {
+	Send    []Message
+	Answers []council.Answer
+}
+
+// Seat is one decider's.
+type Seat struct {
+	set     Settings
+	folder  Folder
+	log     *slog.Logger
+	founder *council.Founder
+	machine *council.Machine // nil: no council yet
+	names   map[uint64]string
+	hello   Time
+	leftOut bool     // there is a council, without this decider
+	others  []string // to whom hello is said: those of the file, and those that a council told of
+	waits   map[string]waiting
+	broken  error
+	out     Actions
+}
+
+// waiting is one that is of no council and says hello, as it might take the place of a decider that is gone.
+type waiting struct {
+	id uint64
+	at Time
+}
+
+// New returns the seat of a life that begins now.
+func New(now Time, set Settings, folder Folder, log *slog.Logger) (*Seat, error) {
+	m := folder.Memory()
+	f, err := council.NewFounder(set.Name, m.Self, set.Named, set.First, m.Founding)
+	if err != nil {
+		return nil, err
+	}
+	s := &Seat{set: set, folder: folder, log: log, founder: f, names: map[uint64]string{}, waits: map[string]waiting{}, others: set.Named}
+	if m.Founding != nil {
+		return s, s.sit(now, m)
+	}
+	return s, nil
+}
+
+// sit takes part in the council that the folder names.
+func (s *Seat) sit(now Time, m disk.Memory) (err error) {
+	s.machine, err = council.New(now, council.Settings{Self: m.Self, Founding: *m.Founding, Heard: m.Heard, Terms: s.set.Terms, Kept: m.Kept}, s.log)
+	if err == nil {
+		s.names = s.machine.Named()
+	}
+	return err
+}
+
+// Deciders are the names of those who decide now, as far as is known here, in order; settled is false while one takes the place of another.
+func (s *Seat) Deciders() (names []string, settled bool) {
+	if s.machine == nil {
+		return nil, false
+	}
+	deciders, settled := s.machine.Deciders()
+	return slices.Sorted(maps.Keys(deciders)), settled
+}
+
+// Waits are the names of those who wait for a place, in order.
+func (s *Seat) Waits(now Time) (names []string) {
+	for name, w := range s.waits {
+		if now-w.at < waitsFor {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Replace has one that waits for a place take that of a decider. Which folder it has is what it said itself.
+func (s *Seat) Replace(now Time, out, in string) error {
+	if s.machine == nil || s.broken != nil {
+		return council.ErrNoLeader
+	}
+	w, known := s.waits[in]
+	if !known || now-w.at >= waitsFor {
+		return fmt.Errorf("seat: %.80q does not wait for a place here: start it as a decider, with an empty folder", in)
+	}
+	err := s.machine.Replace(out, in, w.id)
+	s.settle(now)
+	return err
+}
+
+// Err says why this decider takes part no more; nil: it does. Another life may, where its folder is whole.
+func (s *Seat) Err() error { return s.broken }
+
+// LeftOut tells whether there is a council that this decider waits for a place in.
+func (s *Seat) LeftOut() bool { return s.leftOut && s.machine == nil }
+
+// Ledger is what the log comes to here, which may be old; nil: there is no council yet.
+func (s *Seat) Ledger() *policy.Ledger {
+	if s.machine == nil {
+		return nil
+	}
+	return s.machine.Ledger()
+}
+
+// Leader is the decider that leads as far as is known here; "": nobody is known to.
+func (s *Seat) Leader() string {
+	if s.machine == nil || s.broken != nil {
+		return ""
+	}
+	return s.names[s.machine.Leader()]
+}
+
+// Waiting lists the sidecars that the change under way waits for, and how long at most, on the one that leads.
+func (s *Seat) Waiting(now Time) (names []string, most time.Duration) {
+	if s.machine == nil || s.broken != nil {
+		return nil, 0
+	}
+	return s.machine.Waiting(now)
+}
+
+// Out takes what is to be done.
+func (s *Seat) Out() Actions {
+	out := s.out
+	s.out = Actions{}
+	return out
+}
+
+// Tick has the seat do what is due. It is to be called each council.TickEvery.
+func (s *Seat) Tick(now Time) {
+	switch {
+	case s.broken != nil:
+	case s.machine == nil && now >= s.hello:
+		s.hello = now + helloEvery
+		h := s.founder.Hello()
+		for _, name := range s.others {
+			if name != s.set.Name {
+				s.send(name, packet{Hello: &h})
+			}
+		}
+	case s.machine != nil:
+		s.machine.Tick(now)
+		s.settle(now)
+	}
+}
+
+// Receive takes in a message of another decider. Its error says what is wrong with that message, not with this decider.
+func (s *Seat) Receive(now Time, text []byte) error {
+	if s.broken != nil {
+		return nil
+	}
+	if len(text) > mostText {
+		return fmt.Errorf("seat: a message of %d bytes, %d are allowed", len(text), mostText)
+	}
+	var p packet
+	if err := cbor.Unmarshal(text, &p); err != nil {
+		return fmt.Errorf("seat: a message that cannot be read: %w", err)
+	}
+	switch {
+	case p.Hello != nil:
+		return s.meet(now, *p.Hello)
+	case s.machine == nil:
+		return nil // of a council that this decider has yet to hear of
+	}
+	err := s.machine.Step(p.Sealed)
+	if errors.Is(err, council.ErrForgot) {
+		s.fail(err)
+		return nil
+	}
+	s.settle(now)
+	return err
+}
+
+// meet takes in a hello, and answers one that is of no council yet.
+func (s *Seat) meet(now Time, h council.Hello) error {
+	if s.machine != nil {
+		return s.greet(now, h)
+	}
+	err := s.founder.Heard(now, h)
+	if errors.Is(err, council.ErrLeftOut) {
+		// Danger: who leads may be in no file of this one's, as it is that one's place that it is to take.
+		s.others = s.set.Named
+		for _, name := range slices.Sorted(maps.Keys(h.Deciders)) {
+			if !slices.Contains(s.others, name) && len(s.others) < mostWaits {
+				s.others = append(slices.Clip(s.others), name)
+			}
+		}
+		if !s.leftOut {
+			s.leftOut = true
+			s.log.Warn("this decider waits for a place", "why", err)
+		}
+		return nil
+	}
+	if f := s.founder.Founding(); f != nil && s.machine == nil {
+		// Danger: what the others are told of a council they count on.
+		if err := s.folder.Found(*f); err != nil {
+			s.fail(err)
+			return nil
+		}
+		s.log.Info("of a council", "council", f.String())
+		if err := s.sit(now, s.folder.Memory()); err != nil {
+			s.fail(err)
+			return nil
+		}
+		s.settle(now)
+		if h.Founding == nil {
+			return s.greet(now, h)
+		}
+	}
+	return err
+}
+
+// mostWaits is how many may wait for a place at a time.
+const mostWaits = 16
+
+// greet answers one that is of no council with what this one is, and notes that it is there.
+func (s *Seat) greet(now Time, h council.Hello) error {
+	if h.Founding != nil || h.ID == 0 || h.Name == "" || len(h.Name) > mostName {
+		return nil
+	}
+	deciders, _ := s.machine.Deciders()
+	if deciders[h.Name] != h.ID {
+		maps.DeleteFunc(s.waits, func(_ string, w waiting) bool { return now-w.at >= waitsFor })
+		if _, known := s.waits[h.Name]; !known && len(s.waits) >= mostWaits {
+			return fmt.Errorf("seat: %d wait for a place already", mostWaits)
+		}
+		s.waits[h.Name] = waiting{h.ID, now}
+	}
+	mine := s.founder.Hello()
+	mine.Deciders = deciders
+	s.send(h.Name, packet{Hello: &mine})
+	return nil
+}
+
+// Ask takes in a sidecar's question. The answer follows under its token.
+func (s *Seat) Ask(now Time, token uint64, q policy.Question) {
+	if s.machine == nil || s.broken != nil {
+		s.out.Answers = append(s.out.Answers, council.Answer{Token: token, Err: council.ErrNoLeader})
+		return
+	}
+	s.machine.Ask(now, token, q)
+	s.settle(now)
+}
+
+// Propose asks for a change. What becomes of it stands in the ledger under its id.
+func (s *Seat) Propose(now Time, p policy.Propose) error {
+	if s.machine == nil || s.broken != nil {
+		return council.ErrNoLeader
+	}
+	err := s.machine.Propose(p)
+	s.settle(now)
+	return err
+}
+
+// settle keeps what is to be kept, and then tells what rests on it.
+func (s *Seat) settle(now Time) {
+	for s.broken == nil {
+		b, due := s.machine.Batch()
+		if !due {
+			break
+		}
+		if err := s.folder.Keep(b); err != nil {
+			s.fail(err)
+			return
+		}
+		if err := s.machine.Saved(now); err != nil {
+			s.fail(err)
+			return
+		}
+		s.names = s.machine.Named()
+		if err := s.machine.Err(); err != nil {
+			s.fail(err)
+			return
+		}
+		snapshot, err := s.machine.Compact()
+		if err == nil && snapshot != nil {
+			err = s.folder.Compact(*snapshot)
+		}
+		if err != nil {
+			s.fail(err)
+			return
+		}
+	}
+	out := s.machine.Out()
+	for _, m := range out.Send {
+		if to := s.names[m.To]; to != "" { // else it was replaced meanwhile
+			s.send(to, packet{Sealed: m.Text})
+		}
+	}
+	s.out.Answers = append(s.out.Answers, out.Answers...)
+}
+
+func (s *Seat) send(to string, p packet) {
+	text, err := cbor.Marshal(p)
+	if err != nil || len(text) > mostText {
+		s.log.Error("seat: a message that cannot be sent", "to", to, "bytes", len(text), "err", err)
+		return
+	}
+	s.out.Send = append(s.out.Send, Message{to, text})
+}
+
+// fail has this decider take part no more. What was not told yet is told to nobody.
+func (s *Seat) fail(err error) {
+	s.broken, s.out = err, Actions{}
+	s.log.Error("this decider takes part no more", "err", err)
+}
