--- a/balance/api.go
+++ b/balance/api.go
@@ -199,3 +199,26 @@
 	// Log writes a line for the people on call.
 	Log(text string)
 }
+
+// Sight is what a Balancer sees at an endpoint.
+type Sight int
+
+// What is seen of attempts. One that is late, and then silent, is told once as either.
+const (
+	SawAnswer  Sight = iota // served
+	SawLate                 // no answer after the time in which nearly all come, and nothing else from there since
+	SawSilence              // no answer for so long that it is taken to be lost, and nothing else from there since
+	SawFailure              // an error, or the connection broke
+	SawRefusal              // no connection
+)
+
+// Witness is told what a Balancer sees at endpoints, for other sidecars to know. It is called as Actions is.
+type Witness interface {
+	Saw(endpoint string, s Sight)
+}
+
+// Word is what other sidecars say of an endpoint: it does not do its work.
+type Word struct {
+	ID    string
+	Since Time // when the youngest of what it rests on was written
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,7 +52,10 @@
 // What is above their bar alone is not full: a class that gives way would itself keep it tight.
 func (b *Balancer) pick(q *request, now Time) (to *endpoint, late float64) {
 	late = b.aim
-	for pass := range 2 {
+	for pass := range 3 {
+		if pass == 2 && b.doubts == 0 {
+			break
+		}
 		var full, free bool
 		if to, full, free = b.choose(q, pass, &late, now); to != nil {
 			return to, 0
@@ -86,6 +89,7 @@
 			limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*usual[e.abroad]/e.Size))
 		}
 		in := now >= e.until || pass > 0 && b.panicking
+		in = in && (pass > 1 || !b.doubted(e, now))
 		e.open = e.State == Ready && !b.out[e.ID] && in && b.coldRoom(e, pass > 0)
 		if expect, held := b.expect(e, now), float64(e.inFlight); e.open {
 			e.expects = expect
@@ -139,6 +143,10 @@
 	if answers && out >= min(doubt, b.lateTime(q.Class)) {
 		a.drop()
 	}
+	if !answers && !a.late && out >= b.lateTime(q.Class) {
+		a.late = true
+		b.saw(a.to, SawLate)
+	}
 	if doubt > out {
 		next = min(next, doubt-out)
 	} else {
@@ -370,6 +378,27 @@
 	b.recount(now)
 }
 
+// Watch has a witness be told what is seen at endpoints from now on. Nothing is decided by that.
+func (b *Balancer) Watch(w Witness) { b.witness = w }
+
+// Doubted takes in of which endpoints others speak ill, the worst first, in place of what they said before.
+// These stay in use, behind all others. Danger: false word; a share of the ready size is the most it moves.
+func (b *Balancer) Doubted(words []Word) {
+	room := 0.0
+	for _, e := range b.endpoints {
+		if e.word = 0; e.State == Ready {
+			room += wordMost * e.Size
+		}
+	}
+	b.doubts = 0
+	for _, w := range words {
+		if e := b.known[w.ID]; e != nil && e.State == Ready && e.Size <= room {
+			e.word, room = w.Since, room-e.Size
+			b.doubts++
+		}
+	}
+}
+
 // Out lists the endpoints that are out by hand, in order.
 func (b *Balancer) Out() []string { return slices.Sorted(maps.Keys(b.out)) }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -34,6 +34,8 @@
 	shapeMemory  = 20 * time.Second       // the shape of answer times fades by 1/e in this time
 	ejectFor     = 5 * time.Second        // an ejection lasts; the next fault after it is another
 	shutFor      = time.Second            // an endpoint that turned a class away is not asked again
+	wordMost     = 0.5                    // of the ready size: so much at most others' word puts behind the rest
+	wordFor      = 3 * time.Second        // after it was written it counts for nothing
 	ejectMost    = 0.5                    // of the ready size: with more ejected, the fault is likely our own
 	spillAt      = 0.5                    // of the shortest aim: above it an endpoint is full
 	crossAt      = 8.0                    // of the crossing charge, in aims: an answer that much sooner pays
@@ -190,6 +192,7 @@
 			if a.silent = true; news {
 				e.hushed = now
 			}
+			b.saw(e, SawSilence)
 			e.silent.Bad(survival, max(b.usualLoss(e), partLost), loseAll, 0)
 		}
 		if e.silent.Rings() && a.sent >= e.until {
@@ -248,7 +251,9 @@
 	case Served:
 		e.heard = now
 		e.faults.Good(usual, failMost)
+		b.saw(e, SawAnswer)
 	case Errored, ConnectFailed, Reset:
+		b.saw(e, map[bool]Sight{true: SawRefusal, false: SawFailure}[r.Outcome == ConnectFailed])
 		e.failed, b.failed = e.failed+1, b.failed+1
 		if a.sent >= max(e.until, e.broke) {
 			e.broke = now
@@ -259,6 +264,18 @@
 	}
 }
 
+func (b *Balancer) saw(e *endpoint, s Sight) {
+	if b.witness != nil {
+		b.witness.Saw(e.ID, s)
+	}
+}
+
+// doubted tells whether the word of others stands against e. Danger: it may be false, or old. An own answer
+// since goes before it, and so does a start; it never opens what the own eyes have shut.
+func (b *Balancer) doubted(e *endpoint, now Time) bool {
+	return e.word > max(e.heard, e.Started) && now-e.word < wordFor
+}
+
 // forget lets go of what was seen of an endpoint. Danger: what the servers of a lost zone did not answer is
 // still in what is known of their group, and out. They would be taken for slow, and left alone, when back.
 func (b *Balancer) forget(e *endpoint, started, now Time) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,6 +16,7 @@
 type Balancer struct {
 	set        Settings
 	act        Actions
+	witness    Witness // nil: nobody wants to know
 	rng        *rand.Rand
 	endpoints  []*endpoint          // listed, by id
 	known      map[string]*endpoint // listed, or removed with attempts out
@@ -45,6 +46,7 @@
 	allowed    float64    // sum of the tenants' allowances
 	grouped    Time       // when the subsets were last taken
 	sends      float64    // count of attempts sent
+	doubts     int        // endpoints that others speak ill of
 	panicking  bool       // so much is ejected that the fault is likely ours
 	subscribed bool
 	tight      Time // until then lesser classes give way
@@ -74,6 +76,7 @@
 	mayRun  bool    // done, and may have run
 	dropped bool    // not counted as in flight any more
 	silent  bool    // counts for the silence of its endpoint
+	late    bool    // a witness was told that it is late
 	copied  bool    // another attempt was made as this one seemed lost
 	scale   float64 // seconds that its answer was expected to take
 	alarm   float64 // weight of its silence in the test of its class
@@ -104,6 +107,7 @@
 	inFlight int     // this sidecar's attempts out
 	sent     Time    // sum of the times since which those are owed
 	heard    Time    // when it last answered
+	word     Time    // when others last spoke ill of it; 0: they do not
 	warm     float64 // share of its capacity that it has
 	fresh    bool    // its process has started and has no turn yet
 	last     float64 // the balancer's count of sends at the last one to it
@@ -203,6 +207,16 @@
 // each new class stands from now on, for Request, or an error, and then nothing has changed. A class is known
 // by its name, and one that is dropped keeps its place.
 func (b *Balancer) Configure(set Settings) (places []int, err error) {
+	return b.configure(set, true)
+}
+
+// CanConfigure returns the error that Configure would, and changes nothing.
+func (b *Balancer) CanConfigure(set Settings) error {
+	_, err := b.configure(set, false)
+	return err
+}
+
+func (b *Balancer) configure(set Settings, take bool) (places []int, err error) {
 	old := b.set
 	set.Seed, set.Self, set.Peers, set.Kinds = old.Seed, old.Self, old.Peers, old.Kinds
 	set.Zone, set.Zones = old.Zone, old.Zones
@@ -229,6 +243,9 @@
 		}
 		places = append(places, at)
 	}
+	if !take {
+		return places, nil
+	}
 	set.Classes = classes
 	b.set, b.dropped = set, dropped
 	tenants := make([]quota.Meter, len(set.Tenants))
--- /dev/null
+++ b/balance/word_test.go
@@ -0,0 +1,235 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// worded is a Balancer with n endpoints of one size in one group, and what it sent.
+type worded struct {
+	*Balancer
+	acts *recorder
+	now  Time
+	next RequestID
+}
+
+// recorder takes actions down as text.
+type recorder struct {
+	lines []string
+	sent  []string
+}
+
+func (r *recorder) Send(id RequestID, endpoint string, timeout time.Duration) {
+	r.lines = append(r.lines, fmt.Sprint("send ", id, endpoint, timeout))
+	r.sent = append(r.sent, endpoint)
+}
+func (r *recorder) Cancel(id RequestID, n int) {
+	r.lines = append(r.lines, fmt.Sprint("cancel ", id, n))
+}
+func (r *recorder) Refuse(id RequestID, after time.Duration) {
+	r.lines = append(r.lines, fmt.Sprint("refuse ", id, after))
+}
+func (r *recorder) Fail(id RequestID) { r.lines = append(r.lines, fmt.Sprint("fail ", id)) }
+func (r *recorder) Timer(after time.Duration, token uint64) {
+	r.lines = append(r.lines, fmt.Sprint("timer ", after, token))
+}
+func (r *recorder) Subscribe()      { r.lines = append(r.lines, "subscribe") }
+func (r *recorder) Log(text string) { r.lines = append(r.lines, text) }
+
+func newWorded(t rapid.TB, n int) *worded {
+	t.Helper()
+	acts := &recorder{}
+	b, err := New(Settings{Seed: 1, Peers: 80, Zone: "a", Zones: []string{"a"}, Kinds: []string{"k"}, Service: "s",
+		Classes:     []Class{{Name: "c", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}},
+		MaxAttempts: 3, CancelAllowed: true, CopiesAllowed: true, MustAsk: time.Second, ColdTime: 5 * time.Second, StartCapacity: 0.3,
+		FallMultiple: 4, FallTime: 2 * time.Second}, acts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &worded{Balancer: b, acts: acts, now: 24 * time.Hour}
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{ID: fmt.Sprint("e", i), Zone: "a", Kind: "k", Size: 1})
+	}
+	b.Endpoints(w.now, ListFull, list)
+	return w
+}
+
+// ask has requests come one after another, each answered in 50 ms but by those that are silent, and returns how many went
+// where.
+func (w *worded) ask(n int, silent ...string) map[string]int {
+	went := map[string]int{}
+	for range n {
+		w.next++
+		w.acts.sent = nil
+		w.Request(w.now, Request{ID: w.next, Tenant: -1, Within: 2 * time.Second})
+		w.now += 50 * time.Millisecond
+		w.Timer(w.now, tokenTick)
+		for i, to := range w.acts.sent {
+			went[to]++
+			if !slices.Contains(silent, to) {
+				w.Result(w.now, Result{ID: w.next, Attempt: i, Endpoint: to, Took: 50 * time.Millisecond, Finished: true})
+			}
+		}
+	}
+	return went
+}
+
+// TestDoubtedGoBehind: what others speak ill of gets nothing while another has room, and is used where nothing else is.
+func TestDoubtedGoBehind(t *testing.T) {
+	w := newWorded(t, 6)
+	if went := w.ask(60); went["e1"] < 6 {
+		t.Fatalf("without a word it gets its turns: %v", went)
+	}
+	w.Doubted([]Word{{"e1", w.now + 1}, {"nobody", w.now + 1}})
+	w.now += 2
+	went := w.ask(30)
+	if went["e1"] > 0 || went["nobody"] > 0 || len(went) != 5 {
+		t.Errorf("in doubt: %v", went)
+	}
+	for _, id := range []string{"e0", "e2", "e3", "e4", "e5"} {
+		if !w.TakeOut(w.now, id, true) {
+			t.Fatal("not known: ", id)
+		}
+	}
+	if went = w.ask(1); went["e1"] != 1 {
+		t.Errorf("the only one left, in doubt as it is: %v", went)
+	}
+}
+
+// TestDoubtEnds: word counts for a while, until a good answer of one's own, until the process is another one, or until
+// others take it back.
+func TestDoubtEnds(t *testing.T) {
+	for name, end := range map[string]func(w *worded){
+		"it grows old":   func(w *worded) { w.now += wordFor },
+		"own answer":     func(w *worded) { w.known["e1"].heard = w.now },
+		"taken back":     func(w *worded) { w.Doubted(nil) },
+		"restarted":      func(w *worded) { w.TakeOut(w.now, "e1", true); w.TakeOut(w.now, "e1", false) },
+		"others instead": func(w *worded) { w.Doubted([]Word{{"e2", w.now}}) },
+	} {
+		w := newWorded(t, 6)
+		w.ask(60)
+		w.Doubted([]Word{{"e1", w.now + 1}})
+		w.now += 2
+		if !w.doubted(w.known["e1"], w.now) {
+			t.Fatal("not in doubt to begin with")
+		}
+		end(w)
+		if w.doubted(w.known["e1"], w.now) {
+			t.Errorf("%s: still in doubt", name)
+		}
+	}
+}
+
+// TestWordOpensNothing: whatever others say, no endpoint gets anything that would not get anything without a word: one that is
+// draining, gone, out by hand, ejected or of another list; at most a share of the size is put behind; and a request that
+// finds a place without the word finds one with it.
+func TestWordOpensNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "endpoints")
+		w := newWorded(t, n)
+		w.ask(5 * n)
+		shut := map[string]bool{}
+		for i := range n {
+			id := fmt.Sprint("e", i)
+			switch rapid.IntRange(0, 5).Draw(t, "state") {
+			case 0:
+				w.Endpoints(w.now, ListChanges, []Endpoint{{ID: id, Zone: "a", Kind: "k", Size: 1, State: Draining}})
+			case 1:
+				w.Endpoints(w.now, ListChanges, []Endpoint{{ID: id, Zone: "a", Kind: "k", Size: 1, State: Removed}})
+			case 2:
+				w.TakeOut(w.now, id, true)
+			default:
+				continue
+			}
+			shut[id] = true
+		}
+		var words []Word
+		for range rapid.IntRange(0, 20).Draw(t, "words") {
+			words = append(words, Word{fmt.Sprint("e", rapid.IntRange(0, 14).Draw(t, "about")),
+				w.now + Time(rapid.Int64Range(-int64(10*time.Second), int64(time.Second)).Draw(t, "since"))})
+		}
+		w.Doubted(words)
+		behind, ready := 0.0, 0.0
+		for _, e := range w.endpoints {
+			if e.State == Ready {
+				ready += e.Size
+			}
+			if e.word != 0 {
+				behind += e.Size
+			}
+		}
+		if behind > wordMost*ready {
+			t.Errorf("%v of %v is put behind", behind, ready)
+		}
+		went := w.ask(3)
+		for id := range went {
+			if shut[id] {
+				t.Errorf("%s got a request", id)
+			}
+		}
+		if len(shut) < n && len(went) == 0 {
+			t.Error("no request found a place")
+		}
+	})
+}
+
+type watcher struct{ saw []string }
+
+func (w *watcher) Saw(endpoint string, s Sight) { w.saw = append(w.saw, fmt.Sprint(endpoint, " ", s)) }
+
+// TestWitnessChangesNothing plays the same events with and without a witness, and with words about nobody: the actions are
+// the same to the letter.
+func TestWitnessChangesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, watched := newWorded(t, 5), newWorded(t, 5)
+		seen := &watcher{}
+		watched.Watch(seen)
+		for range rapid.IntRange(1, 60).Draw(t, "rounds") {
+			silent := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"e0", "e1", "e2", "e3"}), 0, 2, rapid.ID).Draw(t, "silent")
+			for _, w := range []*worded{plain, watched} {
+				w.ask(3, silent...)
+				w.Timer(w.now, tokenLate+uint64(w.next)*mostTries)
+			}
+			watched.Doubted([]Word{{"nobody", watched.now}})
+		}
+		if !slices.Equal(plain.acts.lines, watched.acts.lines) {
+			t.Error("a witness changed what is done")
+		}
+		if len(seen.saw) == 0 {
+			t.Error("the witness saw nothing")
+		}
+	})
+}
+
+// TestSights says what a witness is told of each end of an attempt.
+func TestSights(t *testing.T) {
+	for outcome, want := range map[Outcome][]string{Served: {"e0 0"}, Errored: {"e0 3"}, Reset: {"e0 3"}, ConnectFailed: {"e0 4"}, Saturated: nil,
+		Cancelled: nil, NotSent: nil} {
+		w, seen := newWorded(t, 1), &watcher{}
+		w.Watch(seen)
+		w.Request(w.now, Request{ID: 1, Tenant: -1, Within: time.Second})
+		w.Result(w.now+time.Millisecond, Result{ID: 1, Endpoint: "e0", Outcome: outcome, Took: time.Millisecond, Finished: true})
+		if !slices.Equal(seen.saw, want) {
+			t.Errorf("outcome %d: %v, want %v", outcome, seen.saw, want)
+		}
+	}
+	w, seen := newWorded(t, 1), &watcher{}
+	w.ask(3000)
+	w.Watch(seen)
+	w.next++
+	w.now++
+	w.Request(w.now, Request{ID: w.next, Tenant: -1, Within: 10 * time.Second})
+	for range 30 { // its answer does not come
+		w.now += tickEvery
+		w.Timer(w.now, tokenTick)
+		w.Timer(w.now, tokenLate+uint64(w.next)*mostTries)
+	}
+	if !slices.Equal(seen.saw, []string{"e0 1", "e0 2"}) {
+		t.Errorf("a silent one is late once, then silent once: %v", seen.saw)
+	}
+}
--- a/cmd/milletramp/fleet.go
+++ b/cmd/milletramp/fleet.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -167,5 +169,37 @@
 			}
 		}
 	}
+	printDoubts(t, all)
 	return t.Flush()
 }
+
+// printDoubts prints of each server that anybody asked has rows of who speaks ill of it, by the first that holds most.
+func printDoubts(w io.Writer, all []told) {
+	most := map[string]fleet.DoubtStatus{}
+	by, lasts := map[string]int{}, map[string]float64{} // sidecars for which it is in doubt, and the longest of these times
+	for _, a := range all {
+		if a.Status == nil {
+			continue
+		}
+		for _, d := range a.Status.Doubts {
+			if d.Doubt && d.Listed {
+				by[d.ID]++
+				lasts[d.ID] = max(lasts[d.ID], d.For)
+			}
+			if len(d.Rows) > len(most[d.ID].Rows) {
+				most[d.ID] = d
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(most)) {
+		var rows []string
+		for _, r := range most[id].Rows {
+			row := fmt.Sprintf("%s %.1f s ago: %d silent, %d late, %d refused", r.By, r.Age, r.Silent, r.Late, r.Refused)
+			if r.Good >= 0 {
+				row += fmt.Sprintf(", answered %.1f s before", r.Good)
+			}
+			rows = append(rows, row)
+		}
+		fmt.Fprintf(w, "server %s\tin doubt for %d of %d, %.1f s at the longest\t%s\n", id, by[id], len(all), lasts[id], strings.Join(rows, "; "))
+	}
+}
--- a/cmd/milletramp/main.go
+++ b/cmd/milletramp/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -19,6 +20,7 @@
 type commands struct {
 	Lab     labCommands    `cmd:"" help:"Play scenarios of the emulated service, judge and compare them."`
 	Fleet   fleetCommands  `cmd:"" help:"Show and check what sidecars hold in common."`
+	Policy  policyCommands `cmd:"" help:"Check, propose and show the policy of a fleet."`
 	Sidecar sidecarCommand `cmd:"" hidden:"" help:"Be a sidecar, as bin/sidecar is. The lab starts these."`
 }
 
@@ -34,6 +36,9 @@
 	}()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "milletramp:", err)
+		if errors.Is(err, errUndecided) {
+			os.Exit(undecided)
+		}
 		os.Exit(1)
 	}
 }
@@ -48,5 +53,5 @@
 	if err != nil {
 		return err
 	}
-	return sidecar.Run(ctx, reload, config, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return sidecar.Run(ctx, reload, config, slog.New(slog.NewTextHandler(os.Stderr, nil)), nil)
 }
--- a/internal/console/callers.go
+++ b/internal/console/callers.go
@@ -73,8 +73,12 @@
 
 // Close implements net.Listener.
 func (l *callers) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	var err error
+	l.once.Do(func() {
+		close(l.closed)
+		err = l.Listener.Close()
+	})
+	return err
 }
 
 // whole takes c from those that give way.
@@ -84,6 +88,13 @@
 	l.settle(c)
 }
 
+// answering counts the connections with a whole call.
+func (l *callers) answering() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open - l.waiting.Len()
+}
+
 // settle takes c from the list. The lock is held.
 func (l *callers) settle(c *caller) {
 	if c.place != nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,8 @@
 	// TakeOut takes a server out by hand, or puts it back. It returns ErrUnknown for one that nobody has. passed says that
 	// the call came from the other process of an upgrade, which needs no telling. note is for the staff; it may be "".
 	TakeOut(ctx context.Context, id string, out, passed bool) (note string, err error)
+	// Policy answers calls below /ops/policy; nil: the fleet has no policy, or there is no fleet.
+	Policy() http.Handler
 	// Fleet returns as JSON what is held of the fleet, or ErrNoFleet.
 	Fleet(ctx context.Context) ([]byte, error)
 }
@@ -38,12 +41,13 @@
 	// Connections that callers hold at most. Callers that send no whole call give way to others.
 	Connections = 16
 
-	callWithin   = 2 * time.Second // a caller may take to send its call
-	answerWithin = 800 * time.Millisecond
-	writeWithin  = 2 * time.Second // and to take the answer
-	mostBody     = 4 << 10
-	mostHeader   = 4 << 10
-	mostID       = 256
+	callWithin    = 2 * time.Second // a caller may take to send its call
+	answerWithin  = 800 * time.Millisecond
+	writeWithin   = 2 * time.Second      // and to take the answer
+	answeredEvery = 2 * time.Millisecond // Close looks whether calls are still to be answered
+	mostBody      = 4 << 10
+	mostHeader    = 4 << 10
+	mostID        = 256
 )
 
 // PassedOn marks a call that comes from the other process of an upgrade.
@@ -54,6 +58,7 @@
 	sidecar Sidecar
 	web     *http.Server
 	callers *callers
+	closing atomic.Bool
 }
 
 // connKey is the key of a call's connection in its context.
@@ -82,6 +87,15 @@
 			c.do(w, r)
 		})
 	}
+	mux.HandleFunc("/ops/policy/", func(w http.ResponseWriter, r *http.Request) {
+		h := s.sidecar.Policy()
+		if h == nil {
+			http.Error(w, "the fleet has no policy: see deploy/fleet.toml", http.StatusNotFound)
+			return
+		}
+		s.whole(r)
+		h.ServeHTTP(w, r)
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		http.Error(w, "no such path, see /ops/readiness, /ops/stats, /ops/fleet, /ops/servers/down and /ops/servers/up",
 			http.StatusNotFound)
@@ -95,14 +109,22 @@
 
 // Serve answers calls until Close, and returns why it ended.
 func (s *Server) Serve() error {
-	if err := s.web.Serve(s.callers); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.web.Serve(s.callers); !errors.Is(err, http.ErrServerClosed) && !s.closing.Load() {
 		return fmt.Errorf("console: %w", err)
 	}
 	return nil
 }
 
-// Close ends all calls.
-func (s *Server) Close() error { return s.web.Close() }
+// Close takes no more calls, has those that are whole be answered, and ends the others. Danger: a process that ends in an upgrade
+// has taken what the staff said of a server; were its answer cut off, nobody could know.
+func (s *Server) Close() error {
+	s.closing.Store(true)
+	err := s.callers.Close()
+	for end := time.Now().Add(answerWithin); s.callers.answering() > 0 && time.Now().Before(end); {
+		time.Sleep(answeredEvery)
+	}
+	return errors.Join(err, s.web.Close())
+}
 
 // whole marks the call as whole: its caller does not give way to others any more.
 func (s *Server) whole(r *http.Request) {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -2,14 +2,19 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"milletramp.example/milletramp/internal/fleet/policy"
 )
 
 // Config is the operator's file on the fleet (deploy/fleet.toml).
@@ -22,10 +27,59 @@
 	// Folder is where the sidecar leaves what the staff has said, for a fleet that is lost as a whole; "": nowhere.
 	Folder string `toml:"folder"`
 	Limits Limits `toml:"limits"`
+	// Policy says who decides on the fleet's policy; nil: each sidecar's own file does.
+	Policy *PolicyConfig `toml:"policy"`
 
 	clock time.Duration // by which the clock of day is taken to be off; for tests
 }
 
+// PolicyConfig is the part of the file on the fleet's policy.
+type PolicyConfig struct {
+	Deciders  []string `toml:"deciders"`   // names of three or five sidecars
+	First     string   `toml:"first"`      // file of the policy in force before any change
+	Folder    string   `toml:"folder"`     // below which each decider has a folder of its own, that outlasts it
+	PromiseMS int      `toml:"promise_ms"` // the length of a promise; 0: the usual 3000
+	ServeOn   bool     `toml:"serve_on"`   // a sidecar without a promise serves on under what it had
+
+	text []byte // of the first policy
+}
+
+// Terms are those of the promises.
+func (p *PolicyConfig) Terms() policy.Terms {
+	t := policy.UsualTerms
+	if p.PromiseMS > 0 {
+		t.Length = time.Duration(p.PromiseMS) * time.Millisecond
+		t.Short = min(t.Short, t.Length/4)
+	}
+	return t
+}
+
+// check reads what the file names, from the folder that it stands in.
+func (p *PolicyConfig) check(dir string) (err error) {
+	if len(p.Deciders) != 3 && len(p.Deciders) != 5 {
+		return fmt.Errorf("policy.deciders: %d, three or five are needed", len(p.Deciders))
+	}
+	for i, name := range p.Deciders {
+		if name == "" || slices.Contains(p.Deciders[:i], name) {
+			return fmt.Errorf("policy.deciders[%d]: %q is no name, or given twice", i, name)
+		}
+	}
+	if p.Folder == "" {
+		return errors.New("policy.folder: missing")
+	}
+	if err := p.Terms().Check(); p.PromiseMS < 0 || err != nil {
+		return fmt.Errorf("policy.promise_ms: %d: %w", p.PromiseMS, err)
+	}
+	first := p.First
+	if !filepath.IsAbs(first) {
+		first = filepath.Join(dir, first)
+	}
+	if p.text, err = os.ReadFile(first); err != nil {
+		return fmt.Errorf("policy.first: %w", err)
+	}
+	return nil
+}
+
 // Limits are what the operator may bound.
 type Limits struct {
 	CatchUpMS int `toml:"catch_up_ms"` // after which a sidecar that finds nobody goes by what it knows; 0: the usual 2000
@@ -42,7 +96,7 @@
 
 // The variables of the environment.
 const (
-	variable      = "MILLETRAMP_FLEET" // names the file
+	variable      = "MILLETRAMP_FLEET" // names the file; package sidecar has it too
 	addressOver   = "MILLETRAMP_FLEET_ADDRESS"
 	advertiseOver = "MILLETRAMP_FLEET_ADVERTISE"
 	// clockOver is for tests alone: seconds that are added to the clock of day where the fleet reads it. It is safe as no
@@ -103,6 +157,11 @@
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Policy != nil {
+		if err := c.Policy.check(filepath.Dir(path)); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
 	return c, nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,11 +9,16 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"milletramp.example/milletramp/internal/fleet/chamber"
+	"milletramp.example/milletramp/internal/fleet/evidence"
 	"milletramp.example/milletramp/internal/fleet/gossip"
 	"milletramp.example/milletramp/internal/fleet/link"
 	"milletramp.example/milletramp/internal/fleet/membership"
@@ -31,24 +36,30 @@
 	link   *link.Link
 	origin time.Time
 	clock  time.Duration // by which the clock of day is taken to be off
-	apply  func(out []string)
+	told   Told
 
-	events chan func(now replication.Now)
-	over   sync.WaitGroup
-	ctx    context.Context
-	stop   context.CancelFunc
-	ready  chan struct{} // closed once it has caught up for the first time
+	events  chan func(now replication.Now)
+	over    sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
+	chamber *chamber.Chamber // nil: the fleet has no policy
+	address string           // that the others are told
+	ready   chan struct{}    // closed once it has caught up for the first time
 
 	// Of the loop.
 	machine *gossip.Machine
 	waiting map[replication.Key][]chan gossip.Held
 	out     []string
-	tell    bool // apply is to be called though out has not changed
-	done    bool // ready is closed
+	tell    bool // Out is to be called though out has not changed
+	book    *evidence.Book
+	doubts  bool             // some server is in doubt, as was told
+	boots   map[string]int64 // of the own list
+	done    bool             // ready is closed
 	list    []Server
-	renewed time.Duration // when the list was last gone through
-	states  chan []byte   // to be left for the next life; nil: nowhere
-	kept    uint64        // sum of what was last left
+	renewed time.Duration            // when the list was last gone through
+	stands  map[string]time.Duration // servers in doubt, and since when without a break
+	states  chan []byte              // to be left for the next life; nil: nowhere
+	kept    uint64                   // sum of what was last left
 	keptAt  time.Duration
 }
 
@@ -58,19 +69,36 @@
 	Boot int64 // its last start in Unix milliseconds; 0: long ago
 }
 
+// Told is what the fleet tells its sidecar. Each is called from the one goroutine of the fleet and must not wait for it.
+type Told struct {
+	// Out is told the servers that are out by hand, all of them, each time that they change.
+	Out func(servers []string)
+	// Doubts is told the servers of the own list that the fleet doubts, all of them and the worst first, as long as there are
+	// any, and once when there are none any more.
+	Doubts func(doubts []Doubt)
+	// Check reads a policy whole and says what is wrong with it; "": nothing. It is called from a goroutine of its own.
+	Check func(number uint64, text []byte) (fault string)
+}
+
+// Doubt is a server that does not do its work, by the word of other sidecars.
+type Doubt struct {
+	ID  string
+	Age time.Duration // of the youngest word
+}
+
 // renewEvery is how often the own list is gone through again: what the staff said of a listed server is kept.
 const renewEvery = time.Minute
 
-// Start begins a sidecar's part. apply is told the servers that are out by hand, all of them, each time that they change;
-// it is called from the one goroutine of the fleet and must not wait for it.
-func Start(c *Config, name string, log *slog.Logger, apply func(out []string)) (*Fleet, error) {
+// Start begins a sidecar's part. before are the addresses of its other processes, which this one replaces.
+func Start(c *Config, name string, before []string, log *slog.Logger, told Told) (*Fleet, error) {
 	l, err := link.Listen(c.Address, gossip.MostSnapshot)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{log: log.With("part", "fleet"), link: l, origin: time.Now(), clock: c.clock, apply: apply, events: make(chan func(replication.Now), mostQueued),
+	f := &Fleet{log: log.With("part", "fleet"), link: l, origin: time.Now(), clock: c.clock, told: told, boots: map[string]int64{}, events: make(chan func(replication.Now), mostQueued),
 		ready: make(chan struct{}), waiting: map[replication.Key][]chan gossip.Held{}}
 	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.address = c.told(l.Address())
 	var warm []replication.Item
 	file, peers := c.warmFile(name), c.Peers
 	if file != "" {
@@ -91,8 +119,9 @@
 	var random [16]byte
 	_, _ = rand.Read(random[:]) // never fails
 	now := f.now()
-	f.machine = gossip.New(now, gossip.Settings{Label: c.Label, CatchUp: c.CatchUp(), Membership: membership.Settings{Name: name,
-		Address: c.told(l.Address()), Peers: peers, Seed: binary.LittleEndian.Uint64(random[:8]),
+	f.book = evidence.New(binary.LittleEndian.Uint64(random[:8]))
+	f.machine = gossip.New(now, gossip.Settings{Label: c.Label, CatchUp: c.CatchUp(), Before: before, Membership: membership.Settings{Name: name,
+		Address: f.address, Peers: peers, Seed: binary.LittleEndian.Uint64(random[:8]),
 		Nonce: binary.LittleEndian.Uint64(random[8:]) | 1, Number: uint64(max(now.Wall, 1))}}, warm)
 	f.log.Info("joining", "label", c.Label, "address", l.Address(), "peers", len(c.Peers))
 	f.over.Add(1)
@@ -100,10 +129,46 @@
 		defer f.over.Done()
 		f.run()
 	}()
+	if c.Policy != nil {
+		if f.chamber, err = chamber.Start(c.chamber(name, uint64(max(now.Wall, 1)), told.Check), f, log); err != nil {
+			f.stop()
+			f.over.Wait()
+			return nil, errors.Join(err, l.Close())
+		}
+		l.Answer(f.chamber)
+	}
 	l.Serve(f, gossip.MostPacket)
 	return f, nil
 }
 
+// chamber is what this sidecar's part in the policy is told.
+func (c *Config) chamber(name string, life uint64, check func(uint64, []byte) string) chamber.Settings {
+	p := c.Policy
+	return chamber.Settings{Name: name, Life: life, Deciders: p.Deciders, First: p.text, Terms: p.Terms(), ServeOn: p.ServeOn, Check: check,
+		Folder: filepath.Join(p.Folder, fmt.Sprintf("council-%016x", xxhash.Sum64String(name)))}
+}
+
+// Policy is this sidecar's part in the fleet's policy; nil: the file names no deciders.
+func (f *Fleet) Policy() *chamber.Chamber { return f.chamber }
+
+// Call implements chamber.Peers.
+func (f *Fleet) Call(ctx context.Context, name string, text []byte) ([]byte, error) {
+	address := ""
+	if err := f.ask(ctx, func(replication.Now) {
+		for _, m := range f.machine.Members.Members() {
+			if m.Name == name && m.Here() {
+				address = m.Address
+			}
+		}
+	}); err != nil {
+		return nil, err
+	}
+	if address == "" {
+		return nil, fmt.Errorf("fleet: %s is not there", name)
+	}
+	return f.link.Call(ctx, address, text)
+}
+
 // monotonic readings begin at an hour, so that none is 0.
 const monotonicOrigin = time.Hour
 
@@ -121,6 +186,7 @@
 		case <-f.ctx.Done():
 			f.machine.Leave(f.now())
 			f.act()
+			f.forsake()
 			if f.states != nil {
 				f.keptAt = 0
 				f.leaveWarm(f.now())
@@ -136,11 +202,27 @@
 				f.renew(now)
 			}
 			f.leaveWarm(now)
+			f.write(now)
+			f.weigh(now)
 		}
 		f.act()
 	}
 }
 
+// forsake ends what waits for others to hold a call. Where another process bears the name it has been given all calls.
+func (f *Fleet) forsake() {
+	_, bears := f.machine.Members.Self()
+	for key, waiting := range f.waiting {
+		for _, c := range waiting {
+			if !bears {
+				c <- gossip.Held{Key: key, Asked: 1} // has room for it
+			}
+			close(c)
+		}
+		delete(f.waiting, key)
+	}
+}
+
 // act carries out what the machine asks for.
 func (f *Fleet) act() {
 	out := f.machine.Out()
@@ -179,7 +261,76 @@
 	}
 	if now := f.machine.Store.Out(); f.tell || !slices.Equal(now, f.out) {
 		f.out, f.tell = now, false
-		f.apply(slices.Clone(now))
+		f.told.Out(slices.Clone(now))
+	}
+	f.hear(out)
+}
+
+// hear takes in what the machine has heard of servers.
+func (f *Fleet) hear(out gossip.Actions) {
+	now := f.now()
+	for _, server := range out.Speak {
+		f.book.Asked(now.Time, server)
+	}
+	if len(out.Speak) > 0 {
+		f.write(now)
+		f.act()
+	}
+	if slices.ContainsFunc(out.News, func(k replication.Key) bool { return k.Kind == replication.KindRow }) {
+		f.weigh(now)
+	}
+}
+
+// write tells the fleet what this sidecar has seen of servers.
+func (f *Fleet) write(now replication.Now) {
+	if _, bears := f.machine.Members.Self(); !bears {
+		return
+	}
+	for _, e := range f.book.Due(now.Time, f.machine.Members.Here()) {
+		key, err := f.machine.Store.Saw(now, e.Server, f.boots[e.Server], e.Evidence)
+		if err != nil {
+			f.log.Debug("not written", "server", e.Server, "err", err)
+			continue
+		}
+		f.machine.Spoke(now, key)
+	}
+}
+
+// weigh tells the sidecar which servers the fleet doubts. What is said of a process that the own list does not have, or of no
+// server in it, counts for nothing.
+func (f *Fleet) weigh(now replication.Now) {
+	var doubts []Doubt
+	since, stands := map[string]time.Duration{}, map[string]time.Duration{}
+	for _, d := range f.machine.Doubts(now, len(f.list)) {
+		if boot, listed := f.boots[d.Server]; listed && boot == d.Boot {
+			doubts = append(doubts, Doubt{d.Server, now.Time - d.Newest})
+			since[d.Server] = d.Newest
+			stands[d.Server] = now.Time
+			if begun, known := f.stands[d.Server]; known {
+				stands[d.Server] = begun
+			}
+		}
+	}
+	f.stands = stands
+	f.book.Doubted(now.Time, since)
+	if len(doubts) > 0 || f.doubts {
+		f.doubts = len(doubts) > 0
+		f.told.Doubts(doubts)
+	}
+}
+
+// Saw takes in what this sidecar has seen of a server. It does not wait: where much comes at once some is lost.
+func (f *Fleet) Saw(server string, e evidence.End) {
+	select {
+	case f.events <- func(now replication.Now) {
+		if note, due := f.book.Saw(now.Time, server, e); due {
+			f.machine.Note(now.Time, note)
+		}
+		if e == evidence.Silent || e == evidence.Refused {
+			f.write(now)
+		}
+	}:
+	default:
 	}
 }
 
@@ -257,7 +408,7 @@
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("fleet: %w", context.Cause(ctx))
 	}
-	return errors.New("fleet: it has ended")
+	return ErrEnded
 }
 
 // Datagram implements link.Handler.
@@ -284,9 +435,12 @@
 // anything.
 var ErrSilent = errors.New("another process speaks for this sidecar")
 
-// TakeOut takes a call of the staff into the fleet's state, and returns how many others hold it by then; asked is 0 where
-// there is nobody else.
-func (f *Fleet) TakeOut(ctx context.Context, server string, out bool) (held, asked int, err error) {
+// ErrEnded says that the part has been closed.
+var ErrEnded = errors.New("fleet: it has ended")
+
+// TakeOut takes a call of the staff into the fleet's state. Where confirm says so it waits for others to hold it, and returns how
+// many do by then; asked is 0 where there is nobody else.
+func (f *Fleet) TakeOut(ctx context.Context, server string, out, confirm bool) (held, asked int, err error) {
 	answer := make(chan gossip.Held, 1)
 	failed := f.ask(ctx, func(now replication.Now) {
 		if _, bears := f.machine.Members.Self(); !bears {
@@ -301,20 +455,23 @@
 		call, _ := f.machine.Store.Hand(server)
 		f.log.Info("by hand", "server", server, "out", out, "call", strings.Join(calls(call), ","), "replaces", strings.Join(calls(former), ","))
 		f.machine.Tell(key)
-		f.tell = true
+		if f.tell = true; !confirm {
+			return
+		}
 		f.waiting[key] = append(f.waiting[key], answer)
 		f.machine.Confirm(now, key)
 	})
-	if err = errors.Join(failed, err); err != nil {
+	if err = errors.Join(failed, err); err != nil || !confirm {
 		return 0, 0, err
 	}
 	select {
-	case h := <-answer:
+	case h, ok := <-answer:
+		if !ok {
+			return 0, 0, ErrEnded
+		}
 		return h.By, h.Asked, nil
 	case <-ctx.Done():
 		return 0, 0, fmt.Errorf("fleet: %w", context.Cause(ctx))
-	case <-f.ctx.Done():
-		return 0, 0, errors.New("fleet: it has ended")
 	}
 }
 
@@ -329,11 +486,25 @@
 // Listed says which servers the own list has. It does not wait; of lists that come in a rush only the last counts.
 func (f *Fleet) Listed(servers []Server) {
 	select {
-	case f.events <- func(now replication.Now) { f.list = servers; f.renew(now) }:
+	case f.events <- func(now replication.Now) {
+		f.list = servers
+		former := f.boots
+		f.boots = make(map[string]int64, len(servers))
+		for _, s := range servers {
+			f.boots[s.ID] = s.Boot
+			if boot, known := former[s.ID]; known && boot != s.Boot {
+				f.book.Forget(s.ID) // it was another process
+			}
+		}
+		f.renew(now)
+	}:
 	default: // the next one does as well
 	}
 }
 
+// Address is where other sidecars reach this one.
+func (f *Fleet) Address() string { return f.address }
+
 // Knows tells whether the staff has ever said anything of a server.
 func (f *Fleet) Knows(ctx context.Context, server string) (known bool, err error) {
 	err = f.ask(ctx, func(replication.Now) { _, known = f.machine.Store.Hand(server) })
@@ -356,6 +527,9 @@
 
 // Close says farewell and waits for all that was begun.
 func (f *Fleet) Close() error {
+	if f.chamber != nil {
+		f.chamber.Close()
+	}
 	f.stop()
 	f.over.Wait()
 	return f.link.Close()
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"milletramp.example/milletramp/internal/fleet/evidence"
 	"milletramp.example/milletramp/internal/fleet/membership"
 	"milletramp.example/milletramp/internal/fleet/replication"
 )
@@ -25,6 +26,7 @@
 // How news is passed on.
 const (
 	gossipEvery = 100 * time.Millisecond // while there is any
+	urgentEvery = 20 * time.Millisecond  // where there is evidence among it
 	gossipTo    = 3                      // members at a time
 	passTimes   = 3                      // and for each doubling of the fleet, that one piece is sent
 	wantEvery   = time.Second            // that what was missed is asked for, and given, at most
@@ -44,7 +46,7 @@
 const (
 	confirmBy    = 3                      // others that are to hold it
 	confirmEvery = 200 * time.Millisecond // between two tries
-	confirmFor   = 700 * time.Millisecond // until it is said that fewer do; the staff is owed an answer in 1 s
+	confirmFor   = 500 * time.Millisecond // until it is said that fewer do; the staff is owed an answer in 1 s, on a busy machine too
 	confirmBit   = 1 << 63                // of the sequence numbers of such tries, which are not membership's
 )
 
@@ -53,6 +55,7 @@
 	stalled    = 3 * time.Second        // without a Tick: the process was stopped, or had no processor
 	fetchEvery = 250 * time.Millisecond // a peer is asked for all it holds, until one has given it
 	fetchAt    = 3                      // peers at a time at most
+	aloneEvery = time.Second            // by one that has given up waiting, until somebody answers
 )
 
 // Phase is how far a sidecar has caught up with the fleet.
@@ -82,6 +85,9 @@
 	Membership membership.Settings
 	Label      string
 	CatchUp    time.Duration // after which it goes by what it knows; usual: 2 s
+	// Before are the addresses of the process that this one replaces, as in an upgrade. It is asked first, and waited for even if
+	// another has answered: in a cut it may hold calls of the staff that nobody else has heard of.
+	Before []string
 }
 
 const usualCatchUp = 2 * time.Second
@@ -100,6 +106,7 @@
 	News    []replication.Key // what peers' words have changed in the copy
 	Phase   []Phase           // that was gone through
 	Held    []Held
+	Speak   []string // servers of which the own notes are to be said to everybody
 }
 
 // Held is how many others hold a piece that Confirm was asked for.
@@ -158,6 +165,7 @@
 	contacts map[string]*contact
 	confirms []confirm
 	tries    uint64
+	court    evidence.Court
 	figures  Figures
 	out      Actions
 
@@ -165,12 +173,17 @@
 	filled  Time
 	ticked  Time
 	gossip  Time // next
+	urgent  bool // there is evidence among the news
 	called  Time // for members
 	faded   Time
 	phase   Phase
-	since   Time            // of the phase
-	fetch   Time            // next
-	empty   map[string]bool // peers that answered and are catching up themselves
+	since   Time              // of the phase
+	fetch   Time              // next
+	empty   map[string]bool   // peers that answered and are catching up themselves
+	before  []string          // of Settings, as long as they are waited for
+	learnt  bool              // one that is whole has answered
+	heir    string            // address of the life that bears this one's name; "": none
+	owed    []replication.Key // to the heir: what was heard since it was last sent anything
 	wasGone uint32
 }
 
@@ -178,14 +191,14 @@
 func New(now replication.Now, set Settings, warm []replication.Item) *Machine {
 	set.CatchUp = cmp.Or(set.CatchUp, usualCatchUp)
 	m := &Machine{set: set, rng: rand.New(rand.NewPCG(set.Membership.Seed, ^set.Membership.Nonce)),
-		Members: membership.New(now.Time, set.Membership), contacts: map[string]*contact{}, empty: map[string]bool{},
+		Members: membership.New(now.Time, set.Membership), contacts: map[string]*contact{}, empty: map[string]bool{}, before: slices.Clone(set.Before),
 		tokens: mostBurst, filled: now.Time, ticked: now.Time, since: now.Time}
 	self, _ := m.Members.Self()
 	m.Store = replication.New(self.Name, self.Life)
 	for _, item := range warm {
 		m.take(now, item, "")
 	}
-	if len(set.Membership.Peers) == 0 {
+	if len(set.Membership.Peers) == 0 && len(m.before) == 0 {
 		m.enter(now.Time, Fresh)
 	}
 	return m
@@ -208,7 +221,7 @@
 	m.phase, m.since = p, now
 	if p == Catching {
 		clear(m.empty)
-		m.fetch = now
+		m.fetch, m.learnt = now, false
 	} else {
 		m.Members.Joined()
 	}
@@ -223,7 +236,11 @@
 		return
 	}
 	m.count++
-	m.rumors = append(m.rumors, rumor{key, passTimes * bits.Len(uint(m.Members.Here())), m.count})
+	times := bits.Len(uint(m.Members.Here()))
+	if key.Kind != replication.KindRow {
+		times *= passTimes
+	}
+	m.rumors = append(m.rumors, rumor{key, times, m.count})
 }
 
 // take merges one piece.
@@ -236,9 +253,17 @@
 		m.figures.Bad++
 		return false
 	}
-	if news {
-		m.Tell(key)
+	switch {
+	case news:
+		if m.Tell(key); m.heir != "" && len(m.owed) < mostRumors {
+			m.owed = append(m.owed, key)
+		}
+		m.urgent = m.urgent || key.Kind == replication.KindRow
 		m.out.News = append(m.out.News, key)
+	case key.Kind == replication.KindRow: // Danger: rows come by the hundred when much fails; what others have told needs no telling
+		if i := slices.IndexFunc(m.rumors, func(r rumor) bool { return r.key == key }); i >= 0 {
+			m.rumors[i].left--
+		}
 	}
 	return news
 }
@@ -302,6 +327,9 @@
 		m.Members.Receive(now.Time, from, p.From.Name, p.From.Life, *p.Probe)
 	}
 	news := m.takeAll(now, p.Items, p.From.Name)
+	for _, n := range p.Notes {
+		m.noted(now.Time, p.From.Name, n)
+	}
 	if p.Sums != nil {
 		m.compare(now, p.From.Name, from, *p.Sums, p.Roll)
 	}
@@ -315,10 +343,53 @@
 		m.figures.Recovered += uint64(news)
 	}
 	m.settle(now, p.From)
+	m.bequeath(now, m.owed)
 	m.confirm(now)
+	m.spread(now, m.urgent)
 	return nil
 }
 
+// Note tells the collectors of a server what this sidecar has noted of it.
+func (m *Machine) Note(now Time, n evidence.Note) {
+	self, bears := m.Members.Self()
+	if !bears {
+		return
+	}
+	names, places := []string{self.Name}, map[string]string{}
+	for _, p := range m.Members.Members() {
+		if p.Here() {
+			names = append(names, p.Name)
+			places[p.Name] = p.Address
+		}
+	}
+	for _, to := range evidence.Collectors(n.Server, names) {
+		if to == self.Name {
+			m.noted(now, self.Name, n)
+		} else {
+			m.post(now, places[to], Packet{Notes: []evidence.Note{n}}, false)
+		}
+	}
+}
+
+// noted takes in a note of a sidecar.
+func (m *Machine) noted(now Time, from string, n evidence.Note) {
+	switch n.What {
+	case evidence.IsLate:
+		self, _ := m.Members.Self()
+		for _, owner := range m.court.Late(now, n.Server, from, m.Members.Here()) {
+			if owner == self.Name {
+				m.out.Speak = append(m.out.Speak, n.Server)
+			} else if o, known := m.Members.Member(owner); known && o.Here() {
+				m.post(now, o.Address, Packet{Notes: []evidence.Note{{Server: n.Server, What: evidence.Speak}}}, false)
+			}
+		}
+	case evidence.Heard:
+		m.court.Heard(n.Server)
+	case evidence.Speak:
+		m.out.Speak = append(m.out.Speak, n.Server)
+	}
+}
+
 func (m *Machine) contact(name string) *contact {
 	c := m.contacts[name]
 	if c == nil {
@@ -415,6 +486,9 @@
 	return nil
 }
 
+// mostBequest is so many datagrams that a socket's usual buffer holds them all.
+const mostBequest = 64
+
 // itemsHead is what the list of pieces takes beside them, at the most.
 const itemsHead = 8
 
@@ -471,6 +545,7 @@
 func (m *Machine) changed(c membership.Change) {
 	m.out.Changes = append(m.out.Changes, c)
 	if c.Own {
+		m.heir, m.owed = c.Member.Address, m.Store.Keys()
 		return
 	}
 	if c.Former.Life != c.Member.Life {
@@ -516,8 +591,15 @@
 		m.faded = now.Time
 		m.Store.Fade(now)
 	}
-	if now.Time >= m.gossip && (len(m.rumors) > 0 || m.Members.Waiting()) {
-		m.gossip = now.Time + gossipEvery
+	m.spread(now, false)
+	m.confirm(now)
+	m.catchUp(now)
+}
+
+// spread passes news on, where there is any and it is time.
+func (m *Machine) spread(now replication.Now, urgent bool) {
+	if now.Time >= m.gossip-m.hurry(urgent) && (len(m.rumors) > 0 || m.Members.Waiting()) {
+		m.gossip, m.urgent = now.Time+gossipEvery, false
 		for _, to := range m.Members.Some(gossipTo) {
 			p := Packet{Members: m.Members.News(mostNews, membership.Member{})}
 			before := slices.Clone(m.rumors)
@@ -530,8 +612,21 @@
 			}
 		}
 	}
-	m.confirm(now)
-	m.catchUp(now)
+}
+
+// hurry is how much sooner than usual what is urgent is passed on.
+func (m *Machine) hurry(urgent bool) Time {
+	if urgent {
+		return gossipEvery - urgentEvery
+	}
+	return 0
+}
+
+// Spoke has a row that this sidecar has just written be passed on, at once.
+func (m *Machine) Spoke(now replication.Now, key replication.Key) {
+	m.Tell(key)
+	m.urgent = true
+	m.spread(now, true)
 }
 
 // Confirm sees to it that some others hold a piece, and says how many do when enough do or time is over. It is what a yes
@@ -583,17 +678,21 @@
 
 // catchUp asks peers for all they hold until one that is whole has answered, or all have said that they have nothing.
 func (m *Machine) catchUp(now replication.Now) {
-	if m.phase != Catching {
-		return
-	}
-	if now.Time-m.since >= m.set.CatchUp {
+	switch {
+	case m.phase == Catching && now.Time-m.since >= m.set.CatchUp:
+		if m.before = nil; m.learnt { // all but the one that it replaces has been heard
+			m.enter(now.Time, Whole)
+			return
+		}
 		m.enter(now.Time, Alone)
+		m.fetch = now.Time + aloneEvery
 		return
-	}
-	if now.Time < m.fetch {
+	case m.phase != Catching && m.phase != Alone, now.Time < m.fetch:
 		return
 	}
-	m.fetch = now.Time + fetchEvery
+	if m.fetch = now.Time + fetchEvery; m.phase == Alone {
+		m.fetch = now.Time + aloneEvery // others may be there by now
+	}
 	places := slices.Clone(m.set.Membership.Peers)
 	for _, p := range m.Members.Members() {
 		if p.Here() {
@@ -603,7 +702,7 @@
 	slices.Sort(places)
 	places = slices.DeleteFunc(slices.Compact(places), func(a string) bool { return a == m.set.Membership.Address })
 	m.rng.Shuffle(len(places), func(i, j int) { places[i], places[j] = places[j], places[i] })
-	for _, a := range places[:min(len(places), fetchAt)] {
+	for _, a := range append(m.before, places[:min(len(places), fetchAt)]...) {
 		m.figures.Fetches++
 		m.out.Fetch = append(m.out.Fetch, a)
 	}
@@ -611,9 +710,17 @@
 
 // Fetched takes in a snapshot that was asked for, or why there is none.
 func (m *Machine) Fetched(now replication.Now, from string, text []byte, failed error) error {
+	waited := len(m.before)
+	m.before = slices.DeleteFunc(m.before, func(a string) bool { return a == from })
 	if failed != nil {
+		if waited > len(m.before) { // it has ended; another may have answered before
+			m.caught(now, "", false)
+		}
 		return failed
 	}
+	if waited > len(m.before) { // it need not have heard, and gives the rest of what it hears to whom it knows of
+		m.post(now.Time, from, Packet{}, true)
+	}
 	s, err := DecodeSnapshot(text, m.set.Label)
 	if err != nil {
 		m.figures.Bad++
@@ -622,27 +729,52 @@
 	m.merge(now, s.From, s.Members)
 	m.takeAll(now, s.Items, s.From.Name)
 	m.settle(now, membership.Member{})
+	m.caught(now, from, s.Whole)
+	return nil
+}
+
+// caught has it be ready once it may. from is the address of one that has answered, and whole says whether it vouches for its
+// copy.
+func (m *Machine) caught(now replication.Now, from string, whole bool) {
 	if m.phase != Catching && m.phase != Alone {
-		return nil
+		return
 	}
-	switch m.empty[from] = !s.Whole; {
-	case s.Whole:
+	if from != "" {
+		m.empty[from] = !whole
+	}
+	if m.learnt = m.learnt || whole; len(m.before) > 0 {
+		return
+	}
+	switch {
+	case m.learnt:
 		m.enter(now.Time, Whole)
 	case m.phase == Catching && !slices.ContainsFunc(m.set.Membership.Peers, func(a string) bool {
 		return a != m.set.Membership.Address && !m.empty[a]
 	}): // Danger: one that has not answered may hold all that there is
 		m.enter(now.Time, Fresh)
+	case m.phase == Alone && m.askedAll():
+		m.enter(now.Time, Whole) // nobody who is there holds more
 	}
-	return nil
 }
 
-// Serve returns all that this sidecar holds, for one that asks for it.
+// askedAll tells whether all who are here, one other at least, have answered.
+func (m *Machine) askedAll() bool {
+	here := 0
+	for _, p := range m.Members.Members() {
+		if p.Here() {
+			if here++; !m.empty[p.Address] {
+				return false
+			}
+		}
+	}
+	return here > 0
+}
+
+// Serve returns all that this sidecar holds, for one that asks for it. One whose name another life bears hears nothing any more,
+// and does not vouch for its copy; its successor may need what it holds.
 func (m *Machine) Serve(now replication.Now) ([]byte, error) {
 	self, bears := m.Members.Self()
-	if !bears {
-		return nil, errors.New("another life bears this sidecar's name")
-	}
-	s := Snapshot{Format: Format, Label: m.set.Label, From: self, Whole: m.phase != Catching, Members: m.Members.Members()}
+	s := Snapshot{Format: Format, Label: m.set.Label, From: self, Whole: bears && (m.phase == Whole || m.phase == Fresh), Members: m.Members.Members()}
 	room := MostSnapshot / 2 // the members are in the other half
 	for _, key := range m.Store.Keys() {
 		item, ok := m.Store.Item(now, key)
@@ -662,14 +794,51 @@
 	return s.Encode()
 }
 
-// Leave says to some members that this sidecar goes.
+// bequeath sends pieces to the life that bears this one's name, if there is one, as far as mostBequest datagrams take them. Danger:
+// others may not have heard of that one yet, and go on telling this one; what only this one knows the other would not obey.
+func (m *Machine) bequeath(now replication.Now, keys []replication.Key) {
+	if m.heir == "" || len(keys) == 0 {
+		return
+	}
+	m.owed = nil
+	self, _ := m.Members.Self()
+	for range mostBequest {
+		p := Packet{Format: Format, Label: m.set.Label, From: self}
+		if keys = m.fill(now, &p, keys); len(p.Items) == 0 {
+			return
+		}
+		text, err := p.Encode()
+		if err != nil || len(text) > MostPacket {
+			m.figures.Bad++
+			return
+		}
+		m.figures.Packets++
+		m.figures.Bytes += uint64(len(text))
+		m.out.Send = append(m.out.Send, Datagram{m.heir, text})
+	}
+}
+
+// Leave says to some members that this sidecar goes. One whose name another life bears gives that all that it holds, once more.
 func (m *Machine) Leave(now replication.Now) {
+	if m.heir != "" {
+		m.bequeath(now, m.Store.Keys())
+		return
+	}
 	m.Members.Leave()
 	for _, to := range m.Members.Some(gossipTo) {
 		m.post(now.Time, to.Address, Packet{Members: m.Members.News(mostNews, membership.Member{})}, true)
 	}
 }
 
+// Doubts is of which servers the fleet speaks ill, the worst first, where the own list has so many.
+func (m *Machine) Doubts(now replication.Now, servers int) []replication.Doubt {
+	here := func(owner string) bool {
+		o, known := m.Members.Member(owner)
+		return known && o.Here()
+	}
+	return m.Store.Doubts(now, here, m.Members.Here(), servers)
+}
+
 // Lag is how a peer's copy compares to the own one.
 type Lag struct {
 	Name   string
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"milletramp.example/milletramp/internal/fleet/evidence"
 	"milletramp.example/milletramp/internal/fleet/membership"
 	"milletramp.example/milletramp/internal/fleet/replication"
 )
@@ -24,6 +27,14 @@
 // pass carries out what machines ask for, at once, until they have nothing more to say.
 func pass(t testing.TB, now replication.Now, all ...*Machine) (held []Held) {
 	t.Helper()
+	held, _ = passed(t, now, all...)
+	return held
+}
+
+// passed also returns who is asked to speak, and how often.
+func passed(t testing.TB, now replication.Now, all ...*Machine) (held []Held, spoke map[string]int) {
+	t.Helper()
+	spoke = map[string]int{}
 	at := func(address string) *Machine {
 		for _, m := range all {
 			if self, _ := m.Members.Self(); self.Address == address {
@@ -38,6 +49,7 @@
 			self, _ := m.Members.Self()
 			out := m.Out()
 			held = append(held, out.Held...)
+			spoke[self.Name] += len(out.Speak)
 			for _, d := range out.Send {
 				if to := at(d.To); to != nil {
 					busy = true
@@ -57,7 +69,7 @@
 			}
 		}
 	}
-	return held
+	return held, spoke
 }
 
 func later(now *replication.Now, d time.Duration) replication.Now {
@@ -302,3 +314,153 @@
 		}
 	})
 }
+
+// TestNotes has sidecars note that a server's answers are late: those who wait at the same time are asked to speak, nobody
+// else is, and nobody at all while answers still come.
+func TestNotes(t *testing.T) {
+	now := start
+	var all []*Machine
+	for i := range 8 {
+		all = append(all, newMachine(now, i, "a0", "a1", "a2"))
+	}
+	run(t, &now, 10*time.Second, all...)
+	asked := map[string]int{}
+	note := func(i int, w evidence.What) {
+		all[i].Note(now.Time, evidence.Note{Server: "s-1", What: w})
+		_, spoke := passed(t, now, all...)
+		for name, n := range spoke {
+			asked[name] += n
+		}
+	}
+	for _, i := range []int{0, 1, 2} {
+		note(i, evidence.IsLate)
+	}
+	note(0, evidence.Heard)
+	for _, i := range []int{0, 1, 2} {
+		note(i, evidence.IsLate)
+	}
+	for name, n := range asked {
+		if n > 0 {
+			t.Errorf("three wait at the same time, and %s is asked", name)
+		}
+	}
+	note(5, evidence.IsLate)
+	for i := range all {
+		if want := i < 3 || i == 5; (asked[fmt.Sprint("n", i)] > 0) != want {
+			t.Errorf("sidecar %d is asked %d times, wanted: %v", i, asked[fmt.Sprint("n", i)], want)
+		}
+	}
+	for i := range 4 * MostBytes / 60 { // a flood of notes keeps to the bound
+		all[0].Note(now.Time, evidence.Note{Server: fmt.Sprint("s-", i), What: evidence.IsLate})
+	}
+	bytes := 0
+	for _, d := range all[0].Out().Send {
+		bytes += len(d.Text)
+	}
+	if bytes > mostBurst+MostPacket {
+		t.Errorf("%d bytes at once", bytes)
+	}
+}
+
+// TestAlone: one that found nobody in time does not vouch for its copy, and two that did are alone no more once they have
+// found each other, though a peer in the file is never there.
+func TestAlone(t *testing.T) {
+	now := start
+	first := newMachine(now, 0, "a9")
+	run(t, &now, 5*time.Second, first)
+	if p, _ := first.Phase(); p != Alone {
+		t.Fatalf("phase %v, though nobody is there", p)
+	}
+	text, err := first.Serve(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := DecodeSnapshot(text, "test"); err != nil || s.Whole {
+		t.Errorf("vouches for its copy: %v, error %v", s.Whole, err)
+	}
+	call(t, first, now, "s-1", true)
+	second := newMachine(now, 1, "a0", "a9")
+	run(t, &now, time.Second, first, second)
+	if p, _ := second.Phase(); p != Catching {
+		t.Errorf("phase %v before the time is over", p)
+	}
+	run(t, &now, 10*time.Second, first, second)
+	for i, m := range []*Machine{first, second} {
+		if p, _ := m.Phase(); p != Whole || len(m.Store.Out()) != 1 {
+			t.Errorf("machine %d: phase %v, out %v", i, p, m.Store.Out())
+		}
+	}
+}
+
+// TestReplaced: a process that takes another's place waits for what that one holds, though a third has answered, and gets what
+// that one hears of until it ends.
+func TestReplaced(t *testing.T) {
+	now := start
+	former, third := newMachine(now, 0), newMachine(now, 1)
+	call := func(m *Machine, server string) {
+		t.Helper()
+		key, err := m.Store.Call(now, server, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Tell(key)
+	}
+	call(former, "s-0") // the third has not heard of it
+	next := New(later(&now, time.Second), Settings{Label: "test", Before: []string{"a0"}, Membership: membership.Settings{Name: "n0", Address: "b0",
+		Peers: []string{"a1"}, Nonce: 9, Number: 9}}, nil)
+	text, err := third.Serve(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Fetched(now, "a1", text, nil); err != nil {
+		t.Fatal(err)
+	}
+	if p, _ := next.Phase(); p != Catching {
+		t.Errorf("%v before the process that it replaces has answered", p)
+	}
+	next.Tick(now)
+	pass(t, now, former, next)
+	if p, _ := next.Phase(); p != Whole || len(next.Store.Out()) != 1 {
+		t.Errorf("%v with %v out, the process that it replaces has answered", p, next.Store.Out())
+	}
+	if _, bears := former.Members.Self(); bears {
+		t.Error("the process that is replaced has not heard of it")
+	}
+	call(third, "s-1") // of which only the former one hears
+	item, ok := third.Store.Item(now, replication.Key{Kind: replication.KindHand, Server: "s-1"})
+	if !ok {
+		t.Fatal("the third has no call")
+	}
+	piece, err := writing.Marshal(item)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self, _ := third.Members.Self()
+	packet, err := Packet{Format: Format, Label: "test", From: self, Items: []cbor.RawMessage{piece}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := former.Receive(now, "a1", packet); err != nil {
+		t.Error(err)
+	}
+	pass(t, now, former, next)
+	if len(next.Store.Out()) != 2 {
+		t.Errorf("%v out, want what the former process has heard as well", next.Store.Out())
+	}
+	former.Leave(now)
+	pass(t, now, former, next)
+	if len(next.Store.Out()) != 2 {
+		t.Errorf("%v out, want what the former process had as well", next.Store.Out())
+	}
+	// One that is gone is not waited for.
+	alone := New(now, Settings{Label: "test", Before: []string{"a0"}, Membership: membership.Settings{Name: "n0", Address: "c0", Peers: []string{"a1"}, Nonce: 10, Number: 10}}, nil)
+	if err := alone.Fetched(now, "a1", text, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := alone.Fetched(now, "a0", nil, errors.New("refused")); err == nil {
+		t.Error("a failed fetch passed for one")
+	}
+	if p, _ := alone.Phase(); p != Whole {
+		t.Errorf("%v once the process that it replaces is gone", p)
+	}
+}
--- a/internal/fleet/replication/row.go
+++ b/internal/fleet/replication/row.go
@@ -19,6 +19,7 @@
 	Refused uint32 `cbor:"4,keyasint,omitempty"` // connections refused, or that never came up
 	Late    uint32 `cbor:"5,keyasint,omitempty"` // answered late
 	Good    uint32 `cbor:"6,keyasint,omitempty"` // milliseconds since its last good answer; 0: none of late
+	Bad     uint32 `cbor:"7,keyasint,omitempty"` // milliseconds since the last that was silent, late or refused
 }
 
 // Row is the evidence of one sidecar on one server. Its owner alone writes it.
@@ -42,7 +43,7 @@
 
 func (e Evidence) compare(o Evidence) int {
 	return cmp.Or(cmp.Compare(e.Tries, o.Tries), cmp.Compare(e.Silent, o.Silent), cmp.Compare(e.Failed, o.Failed),
-		cmp.Compare(e.Refused, o.Refused), cmp.Compare(e.Late, o.Late), cmp.Compare(e.Good, o.Good))
+		cmp.Compare(e.Refused, o.Refused), cmp.Compare(e.Late, o.Late), cmp.Compare(e.Good, o.Good), cmp.Compare(e.Bad, o.Bad))
 }
 
 // laterRow is the newest of two versions of one row, whenever they arrive. The same one that came two ways is as old as
--- a/internal/fleet/replication/view.go
+++ b/internal/fleet/replication/view.go
@@ -7,92 +7,83 @@
 	"time"
 )
 
-// How rows are weighed. A server is in doubt by the fleet's word where enough sidecars speak against it and they outweigh
-// those who speak for it.
+// How rows are weighed. A server is in doubt by the fleet's word where enough sidecars have had no answer from it and none
+// has had one since.
 const (
 	rowSpeaks   = 2 * time.Second // a row is weighed for this long; its owner writes it again sooner
-	leastBad    = 2               // bad ends that make a row speak against its server, and half of the tries at least
-	goodWithin  = time.Second     // a good answer this young makes a row speak for it
-	quorum      = 3               // sidecars that have to agree; 2 in a fleet of 3 or fewer, never fewer than that
-	mostAgainst = 0.5             // of the servers that a sidecar may speak against: from there on the fault is likely its own
-	doubtFrom   = 0.5             // of the weight of all who speak
+	leastBad    = 4               // requests without an answer, over all who speak against a server,
+	mostBad     = 2               // of which one sidecar brings so many at most
+	quorum      = 3               // sidecars that have to agree, oneself among them; 2 in a fleet of 3 or fewer
+	mostAgainst = 0.5             // of the servers: who speaks against more is not believed, the fault is likely its own
 )
 
-// stand is what a row says of its server.
-type stand int
+// bad counts what speaks against a server since its last good answer. Errors do not: a server that fails some of its
+// requests serves the others. What a peer writes may be as large as it likes.
+func (e Evidence) bad() uint64 { return uint64(max(e.Silent, e.Late)) + uint64(e.Refused) }
 
-const (
-	says    stand = iota // nothing
-	against              // it does not do its work
-	favors               // it does
-)
+// against tells whether a row speaks against its server now.
+func (r Row) against(now Now) bool { return now.Time-r.born < rowSpeaks && r.Evidence.bad() > 0 }
 
-// stands is what a row says, and how old it is.
-func (r Row) stands(now Now) stand {
-	since := now.Time - r.born
-	bad := r.Evidence.Silent + r.Evidence.Failed + r.Evidence.Refused + r.Evidence.Late
-	switch {
-	case since >= rowSpeaks:
-		return says
-	case bad >= leastBad && 2*uint64(bad) >= uint64(r.Evidence.Tries):
-		return against
-	case r.Evidence.Good > 0 && Time(r.Evidence.Good)*time.Millisecond+since < goodWithin:
-		return favors
-	}
-	return says
+// good is when the row's owner last had a good answer, and whether it has told.
+func (r Row) good() (at Time, told bool) {
+	return r.born - Time(r.Evidence.Good)*time.Millisecond, r.Evidence.Good > 0
 }
 
+// spoke is when the row's owner last had no answer. A row that is written again does not make that any younger: were it to,
+// a good answer would be forgotten with the next row of one that has not tried the server since.
+func (r Row) spoke() Time { return r.born - Time(r.Evidence.Bad)*time.Millisecond }
+
 // Doubt is a server that the fleet speaks against.
 type Doubt struct {
 	Server string
-	Boot   int64   // of the process that is spoken of
-	Share  float64 // of the weight of all who speak, from doubtFrom to 1
-	By     int     // sidecars
-	Newest Time    // when the youngest row against it was written
+	Boot   int64 // of the process that is spoken of
+	By     int   // sidecars
+	Newest Time  // when one of them last had no answer
 }
 
-// Doubts weighs the rows: those of sidecars that are here, on the process of each server that most of them speak of. servers is how many there are. Danger: one sidecar whose network is broken believes all servers dead; its word weighs the less
-// the more of them it speaks against, and nothing from half of them on. The own row is left out: what one has seen oneself
-// needs no fleet.
+// Doubts weighs the rows: those of sidecars that are here, on the process of each server that most of them speak of. servers
+// is how many there are. The most widely doubted come first.
+//
+// Danger: one sidecar whose network is broken believes all servers dead; it is not believed. Danger: late answers are
+// no silence. Any good answer after an owner's last bad end, of whomever, answers its row: then the word of one is enough to have
+// the others decide as if there were no fleet, which is no harm.
 func (s *Store) Doubts(now Now, here func(owner string) bool, members, servers int) (doubts []Doubt) {
 	spoken := map[string]int{}
 	for _, rows := range s.rows {
 		for _, r := range rows {
-			if r.stands(now) == against {
+			if r.against(now) {
 				spoken[r.Owner]++
 			}
 		}
 	}
+	counts := func(r Row) bool {
+		return (r.Owner == s.name || here(r.Owner)) && float64(spoken[r.Owner]) <= max(mostAgainst*float64(servers), 1)
+	}
 	needed := quorum
 	if members <= quorum {
 		needed = 2
 	}
 	for server, rows := range s.rows {
 		d := Doubt{Server: server, Boot: spokenOf(now, rows)}
-		var bad, all float64
+		answered, ends := Time(0), uint64(0)
 		for _, r := range rows {
-			weight := 1 - float64(max(spoken[r.Owner]-1, 0))/(mostAgainst*float64(max(servers-1, 1)))
-			if r.Owner == s.name || !here(r.Owner) || r.Boot != d.Boot || weight <= 0 {
-				continue
+			if at, told := r.good(); told && r.Boot == d.Boot && counts(r) {
+				answered = max(answered, at)
 			}
-			switch r.stands(now) {
-			case against:
-				bad, all = bad+weight, all+weight
+		}
+		for _, r := range rows {
+			if r.Boot == d.Boot && counts(r) && r.against(now) && r.spoke() > answered {
+				ends += min(r.Evidence.bad(), mostBad)
 				d.By++
-				d.Newest = max(d.Newest, r.born)
-			case favors:
-				all += weight
+				d.Newest = max(d.Newest, r.spoke())
 			}
 		}
-		if d.By < needed {
-			continue
-		}
-		if d.Share = bad / all; d.Share >= doubtFrom {
+		if d.By >= needed && ends >= leastBad {
 			doubts = append(doubts, d)
 		}
 	}
 	slices.SortFunc(doubts, func(a, b Doubt) int {
-		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(b.By, a.By), strings.Compare(a.Server, b.Server))
+		return cmp.Or(cmp.Compare(b.By, a.By), strings.Compare(a.Server, b.Server))
 	})
 	return doubts
 }
@@ -102,7 +93,7 @@
 func spokenOf(now Now, rows []Row) (boot int64) {
 	count := map[int64]int{}
 	for _, r := range rows {
-		if r.stands(now) != says {
+		if r.against(now) {
 			count[r.Boot]++
 		}
 	}
@@ -113,19 +104,3 @@
 	}
 	return boot
 }
-
-// Bounded leaves of doubts, the worst first, what takes at most a share of the size of any group out of turn. group tells
-// the group and the size of a server, "" for one that the own list does not have; sizes are the groups' own. Danger: where the fleet's word could
-// take all of a group, false word could.
-func Bounded(doubts []Doubt, share float64, sizes map[string]float64, group func(server string) (name string, size float64)) (left []Doubt) {
-	taken := map[string]float64{}
-	for _, d := range doubts {
-		name, size := group(d.Server)
-		if name == "" || taken[name]+size > share*sizes[name] {
-			continue
-		}
-		taken[name] += size
-		left = append(left, d)
-	}
-	return left
-}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -21,9 +21,29 @@
 	Sums    map[string]string `json:"sums"`
 	Members []MemberStatus    `json:"members"`
 	Servers []ServerStatus    `json:"by_hand"`
+	Doubts  []DoubtStatus     `json:"in_doubt"`
 	Figures gossip.Figures    `json:"figures"`
 }
 
+// DoubtStatus is a server that the fleet doubts, or of which a sidecar has written.
+type DoubtStatus struct {
+	ID     string      `json:"id"`
+	Doubt  bool        `json:"in_doubt"` // by the word of others; false: there are rows, but not enough, or answered
+	For    float64     `json:"for_s"`    // that it has been so, without a break
+	Listed bool        `json:"listed"`   // with the process that is spoken of; otherwise the word counts for nothing
+	Rows   []RowStatus `json:"rows"`
+}
+
+// RowStatus is what one sidecar has written of a server.
+type RowStatus struct {
+	By      string  `json:"by"`
+	Age     float64 `json:"age_s"`
+	Late    uint32  `json:"late"`
+	Silent  uint32  `json:"silent"`
+	Refused uint32  `json:"refused"`
+	Good    float64 `json:"good_s_before"` // its last good answer before it wrote; -1: none of late
+}
+
 // MemberStatus is what it holds of another.
 type MemberStatus struct {
 	Name        string   `json:"name"`
@@ -100,9 +120,34 @@
 		}
 		s.Servers = append(s.Servers, o)
 	}
+	s.Doubts = f.doubtStatus(now)
 	return s
 }
 
+func (f *Fleet) doubtStatus(now replication.Now) (all []DoubtStatus) {
+	doubted := map[string]int64{}
+	for _, d := range f.machine.Doubts(now, len(f.list)) {
+		doubted[d.Server] = d.Boot
+	}
+	for _, server := range f.machine.Store.Suspects() {
+		own, listed := f.boots[server]
+		boot, doubt := doubted[server]
+		o := DoubtStatus{ID: server, Doubt: doubt, Listed: listed && (!doubt || own == boot)}
+		if begun, known := f.stands[server]; known && doubt {
+			o.For = seconds(now.Time - begun)
+		}
+		for _, r := range f.machine.Store.Rows(now, server) {
+			row := RowStatus{By: r.Owner, Age: float64(r.Age) / 1e3, Late: r.Evidence.Late, Silent: r.Evidence.Silent, Refused: r.Evidence.Refused, Good: -1}
+			if r.Evidence.Good > 0 {
+				row.Good = float64(r.Evidence.Good) / 1e3
+			}
+			o.Rows = append(o.Rows, row)
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
 func seconds(d time.Duration) float64 { return d.Round(time.Millisecond).Seconds() }
 
 const digits = "0123456789abcdef"
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -35,9 +35,10 @@
 
 // State is what a process has the others know.
 type State struct {
-	Name    string    `json:"name"`    // of the sidecar
-	Listen  string    `json:"listen"`  // its address for clients
-	Console string    `json:"console"` // its address for the staff; "": none
+	Name    string    `json:"name"`            // of the sidecar
+	Listen  string    `json:"listen"`          // its address for clients
+	Console string    `json:"console"`         // its address for the staff; "": none
+	Fleet   string    `json:"fleet,omitempty"` // its address for other sidecars; "": it has no part in a fleet
 	Started time.Time `json:"started"`
 	Phase   Phase     `json:"phase"`
 	Out     []string  `json:"out"` // servers taken out by hand
@@ -101,6 +102,7 @@
 
 	mu    sync.Mutex
 	state State
+	left  bool
 }
 
 const (
@@ -143,6 +145,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.left {
+		return nil // nobody asks any more
+	}
 	change(&m.state)
 	return m.write()
 }
@@ -167,6 +172,12 @@
 	if m == nil {
 		return nil
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.left {
+		return nil
+	}
+	m.left = true
 	var errs []error
 	for _, end := range []string{".new", stateEnd, lockEnd} {
 		if err := os.Remove(m.file(end)); err != nil && !errors.Is(err, fs.ErrNotExist) {
--- a/internal/lab/sim/known.go
+++ b/internal/lab/sim/known.go
@@ -66,7 +66,7 @@
 		case mended:
 			kind = record.Unknown
 			fallthrough
-		case c.decider.(Believer).Loses(w.now+epoch, w.nodes[l.node].ID, l.class) >= knownAt*l.share:
+		case c.member != nil && c.member.doubted[w.nodes[l.node].ID], c.decider.(Believer).Loses(w.now+epoch, w.nodes[l.node].ID, l.class) >= knownAt*l.share:
 			l.known = true
 			w.emit(record.Event{Kind: kind, Sidecar: c.i, Node: l.node, Wait: w.now - l.since, Attempt: l.times})
 		}
--- a/internal/lab/sim/queue.go
+++ b/internal/lab/sim/queue.go
@@ -14,6 +14,7 @@
 	status uint8
 	att    *attempt
 	req    *request
+	do     func()
 }
 
 type kind uint8
@@ -32,6 +33,7 @@
 	evAct                  // act a of the plan
 	evUp                   // sidecar a is up again
 	evLate                 // a mutant's late answer to req
+	evDo                   // do
 	evNote                 // a mutant's sidecar a is told of node b, and hears later
 )
 
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -57,6 +57,7 @@
 	Make     Maker // nil: Module
 	Sink     record.Sink
 	Host     Host
+	Fleet    *Fleet                                           // nil: each sidecar is alone
 	Progress func(at time.Duration)                           // each simulated second; may be nil
 	Log      func(at time.Duration, sidecar int, line string) // what the module says; may be nil
 }
@@ -127,6 +128,7 @@
 	list     map[int32]balance.Endpoint
 	lastTold time.Duration
 	losses   []loss // at nodes that lose now
+	member   *member
 }
 
 type idleConn struct {
@@ -335,6 +337,8 @@
 		}
 	case evNote:
 		w.emit(record.Event{Kind: record.Told, Sidecar: e.a, Node: e.b, State: record.State(e.status)})
+	case evDo:
+		e.do()
 	case evLate:
 		e.req.side.answer(e.req, record.Status(e.status), 0, 0)
 	}
@@ -362,6 +366,7 @@
 	if c.decider, err = w.opt.Make(set, c, w); err != nil {
 		return err
 	}
+	c.join()
 	var list []balance.Endpoint
 	for n := range w.nodes {
 		if e, ok := c.list[int32(n)]; ok {
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,104 @@
+// Package member gives a sidecar its part in the fleet: it passes on what each of the two has for the other, and decides
+// nothing. It is apart from package sidecar so that a program without a fleet has none of the fleet's code.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/fleet"
+	"milletramp.example/milletramp/internal/fleet/evidence"
+	"milletramp.example/milletramp/internal/sidecar"
+)
+
+// part implements sidecar.Part.
+type part struct{ *fleet.Fleet }
+
+// Join begins a sidecar's part in the fleet that the operator's file names. It is a sidecar.Join.
+func Join(c *sidecar.Config, before []string, log *slog.Logger, told sidecar.Told) (sidecar.Part, error) {
+	named, err := fleet.FromEnvironment(c.Getenv)
+	if err != nil || named == nil {
+		return nil, err
+	}
+	f, err := fleet.Start(named, c.Name, before, log, fleet.Told{Out: told.Out, Doubts: func(doubts []fleet.Doubt) {
+		words := make([]sidecar.Doubt, 0, len(doubts))
+		for _, d := range doubts {
+			words = append(words, sidecar.Doubt(d))
+		}
+		told.Doubts(words)
+	}, Check: told.Check})
+	if err != nil {
+		return nil, err
+	}
+	return part{f}, nil
+}
+
+// Policy implements sidecar.Part.
+func (p part) Policy() sidecar.Policy {
+	if c := p.Fleet.Policy(); c != nil {
+		return newCalls(c)
+	}
+	return nil
+}
+
+// Listed implements sidecar.Part.
+func (p part) Listed(servers []sidecar.Server) {
+	list := make([]fleet.Server, 0, len(servers))
+	for _, s := range servers {
+		o := fleet.Server{ID: s.ID}
+		if !s.Boot.IsZero() {
+			o.Boot = s.Boot.UnixMilli()
+		}
+		list = append(list, o)
+	}
+	p.Fleet.Listed(list)
+}
+
+// ends are the Balancer's sights as the fleet calls them.
+var ends = [...]evidence.End{balance.SawAnswer: evidence.Answered, balance.SawLate: evidence.Late, balance.SawSilence: evidence.Silent,
+	balance.SawFailure: evidence.Failed, balance.SawRefusal: evidence.Refused}
+
+// Saw implements balance.Witness.
+func (p part) Saw(endpoint string, s balance.Sight) { p.Fleet.Saw(endpoint, ends[s]) }
+
+// TakeOut implements sidecar.Part.
+func (p part) TakeOut(ctx context.Context, server string, out, confirm bool) (held, asked int, err error) {
+	if held, asked, err = p.Fleet.TakeOut(ctx, server, out, confirm); errors.Is(err, fleet.ErrSilent) || errors.Is(err, fleet.ErrEnded) {
+		return 0, 0, sidecar.ErrSilent
+	}
+	return held, asked, err
+}
+
+// Status implements sidecar.Part.
+func (p part) Status(ctx context.Context) ([]byte, error) {
+	s, err := p.Fleet.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return json.MarshalIndent(s, "", "  ")
+}
+
+// Figures implements sidecar.Part.
+func (p part) Figures(ctx context.Context, w io.Writer) error {
+	s, err := p.Fleet.Status(ctx)
+	if err != nil {
+		return err
+	}
+	alone, doubts := 0, 0
+	for _, d := range s.Doubts {
+		if d.Doubt && d.Listed {
+			doubts++
+		}
+	}
+	if s.Phase == "alone" {
+		alone = 1
+	}
+	_, err = fmt.Fprintf(w, "sidecar.fleet.members=%d\nsidecar.fleet.alone=%d\nsidecar.fleet.own_trouble=%d\nsidecar.fleet.packets=%d\nsidecar.fleet.bytes=%d\nsidecar.fleet.in_doubt=%d\n",
+		s.Here, alone, s.Sick, s.Figures.Packets, s.Figures.Bytes, doubts)
+	return err
+}
--- a/internal/sidecar/family.go
+++ b/internal/sidecar/family.go
@@ -27,7 +27,7 @@
 func joinFamily(c *Config, log *slog.Logger) *family {
 	f := &family{since: time.Now()}
 	f.shares.Store(1)
-	dir := c.getenv("TMPDIR")
+	dir := c.Getenv("TMPDIR")
 	if dir == "" {
 		log.Info("no TMPDIR: nothing is handed over in an upgrade")
 		return f
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"milletramp.example/milletramp/balance"
-	"milletramp.example/milletramp/internal/fleet"
 	"milletramp.example/milletramp/internal/stats"
 )
 
@@ -28,6 +27,7 @@
 	served answerKind = iota
 	refused
 	failed
+	stale // none: the policy that it was read under is not in force any more
 )
 
 // answer is a request's final answer.
@@ -43,6 +43,7 @@
 type call struct {
 	message
 	*term
+	policy   uint64 // that it was read under; 0: there is none
 	tenant   int
 	retry    bool      // its client asked before
 	deadline time.Time // the final answer is due
@@ -82,7 +83,8 @@
 	isReady  bool
 	hasHeard bool
 	watches  watches
-	listed   func([]fleet.Server) // is told each list; nil: nobody is
+	gate     *gate          // nil: the settings are those of the own file
+	listed   func([]Server) // is told each list; nil: nobody is
 }
 
 // event is what happened at a time.
@@ -171,6 +173,10 @@
 }
 
 func (h *host) begin(c *call) {
+	if h.gate != nil && !h.gate.holds(c.policy) {
+		h.answer(c, answer{kind: stale})
+		return
+	}
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync/atomic"
 
-	"milletramp.example/milletramp/internal/fleet"
 	"milletramp.example/milletramp/internal/stats"
 )
 
@@ -15,10 +14,11 @@
 	host    *host
 	figures *stats.Figures
 	family  *family
-	server  atomic.Pointer[server]      // nil: does not listen yet
-	told    atomic.Bool                 // other processes can see that this one is ready
-	part    atomic.Pointer[fleet.Fleet] // in the fleet; nil: the operator names none
-	obeyed  chan struct{}               // has one if what is out by hand has changed by word of the fleet
+	server  atomic.Pointer[server] // nil: does not listen yet
+	told    atomic.Bool            // other processes can see that this one is ready
+	part    atomic.Pointer[Part]   // in the fleet; nil: there is none
+	gate    *gate                  // set before it listens; nil: the fleet has no policy, or there is none
+	obeyed  chan struct{}          // has one if what is out by hand has changed by word of the fleet
 
 	// Of the loop.
 	obeys map[string]bool // servers that the fleet last had out
@@ -87,7 +87,7 @@
 		}
 		known = true
 	}
-	return o.tellFleet(ctx, id, out, known || elsewhere && !passed)
+	return o.tellFleet(ctx, id, out, known || elsewhere && !passed, passed)
 }
 
 // ask has the loop do something and waits until it has, or until ctx ends: then it may still do it.
--- /dev/null
+++ b/internal/sidecar/policy.go
@@ -0,0 +1,227 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"milletramp.example/milletramp/balance"
+	"milletramp.example/milletramp/internal/wire"
+)
+
+// Policy is the fleet's policy as this sidecar has to do with it. A program without a part in a fleet, or whose operator's file names
+// no deciders, has none.
+type Policy interface {
+	// Serves tells under which policy a request may be taken now; wait is how long it would have to wait for the next one, where
+	// that is known. It reads the clock each time.
+	Serves() (number uint64, wait time.Duration, ok bool)
+	// Calls answers the staff's.
+	Calls() http.Handler
+}
+
+// policyHeader tells the application under which policy its request was decided.
+const policyHeader = "X-Policy"
+
+// enterWithin is how long a request waits for the next policy at most; a change takes a round trip between sidecars.
+const enterWithin = time.Second
+
+// ownKeys are the settings that tell this sidecar of its place. A policy has none of them, and all others.
+var ownKeys = []string{"ordinal", "peers_total", "my_zone", "areas", "models", "tier", "tiers", "discovery"}
+
+// gate has requests taken under the policy in force alone.
+type gate struct {
+	policy Policy
+	host   *host
+
+	mu    sync.Mutex
+	own   map[string]any           // this sidecar's place, of its own file
+	ready map[uint64]checkedPolicy // that it can run
+}
+
+type checkedPolicy struct {
+	settings balance.Settings
+	names    *wire.Names
+	limits   wire.Limits
+	tree     map[string]any // the document
+}
+
+// newGate returns a gate whose policies stand beside the own place of a configuration. Its policy is set before it is used.
+func newGate(h *host, c *Config) *gate {
+	g := &gate{host: h, own: map[string]any{}, ready: map[uint64]checkedPolicy{}}
+	settings, _ := c.tree["settings"].(map[string]any)
+	for _, key := range ownKeys {
+		if v, told := settings[key]; told {
+			g.own[key] = v
+		}
+	}
+	return g
+}
+
+// check reads a document whole, as it would be run here, and says what is wrong with it; "": nothing, and then it can be run.
+func (g *gate) check(ctx context.Context, number uint64, text []byte) (fault string) {
+	p, err := g.read(text)
+	if err == nil {
+		if asked := g.host.ask(ctx, func() { err = g.host.balancer.CanConfigure(p.settings) }); asked != nil {
+			err = asked
+		}
+	}
+	if err != nil {
+		return err.Error()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ready[number] = p
+	// A change comes behind the one in force; what lies further back is served no more.
+	maps.DeleteFunc(g.ready, func(n uint64, _ checkedPolicy) bool { return n+8 < number })
+	return ""
+}
+
+func (g *gate) read(text []byte) (p checkedPolicy, err error) {
+	if err := json.Unmarshal(text, &p.tree); err != nil {
+		return p, fmt.Errorf("policy: %w", err)
+	}
+	merged := maps.Clone(p.tree)
+	for _, key := range ownKeys {
+		if _, there := p.tree[key]; there {
+			return p, fmt.Errorf("policy: %s: is of each sidecar's own place, in its own file", key)
+		}
+	}
+	maps.Copy(merged, g.own)
+	object, err := json.Marshal(merged)
+	if err != nil {
+		return p, fmt.Errorf("policy: %w", err)
+	}
+	if p.settings, p.names, p.limits, err = wire.SettingsJSON(0, object); err != nil {
+		return p, fmt.Errorf("policy: %w", err)
+	}
+	p.limits.ConnectTimeout = orDefault(p.limits.ConnectTimeout, defaultConnectTimeout)
+	p.limits.IdleClose = orDefault(p.limits.IdleClose, defaultIdleClose)
+	return p, nil
+}
+
+func orDefault(d, usual time.Duration) time.Duration {
+	if d == 0 {
+		return usual
+	}
+	return d
+}
+
+// CheckPolicy says what is wrong with a policy for a sidecar of this configuration. A sidecar also holds it against what it has run
+// since its start.
+func CheckPolicy(c *Config, text []byte) error {
+	p, err := newGate(nil, c).read(text)
+	if err != nil {
+		return err
+	}
+	_, err = balance.New(p.settings, idle{})
+	return err
+}
+
+// idle implements balance.Actions and does nothing.
+type idle struct{ balance.Actions }
+
+// Timer implements balance.Actions.
+func (idle) Timer(time.Duration, uint64) {}
+
+// adopt has the host go by a policy from now on. It is the loop's.
+func (g *gate) adopt(number uint64) error {
+	if g.host.terms.Load().policy == number {
+		return nil
+	}
+	g.mu.Lock()
+	p, ready := g.ready[number]
+	g.mu.Unlock()
+	if !ready {
+		return fmt.Errorf("policy %d is in force, and was not checked here", number)
+	}
+	places, err := g.host.balancer.Configure(p.settings)
+	if err != nil {
+		return fmt.Errorf("policy %d: %w", number, err)
+	}
+	t := newTerms(p.settings, p.names, places, g.host.figures)
+	t.policy = number
+	g.host.terms.Store(t)
+	g.host.upstream.configure(p.limits)
+	g.host.log.Info("goes by a policy", "number", number)
+	return nil
+}
+
+// enter waits until requests are taken, if that is soon, and has the host go by the policy in force. Danger: what it says may
+// be over when it returns; holds is what counts.
+func (g *gate) enter(ctx context.Context, within time.Duration) bool {
+	for end := time.Now().Add(min(within, enterWithin)); ; {
+		number, wait, ok := g.policy.Serves()
+		switch {
+		case ok && g.host.terms.Load().policy == number:
+			return true
+		case ok:
+			var err error
+			if asked := g.host.ask(ctx, func() { err = g.adopt(number) }); asked != nil {
+				return false
+			}
+			if err != nil {
+				g.host.log.Error("no request is taken", "err", err)
+				return false
+			}
+		case wait == 0 || time.Until(end) < wait:
+			return false
+		default:
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				return false
+			}
+		}
+	}
+}
+
+// holds tells whether a request that was read under a policy may be taken now. It is the loop's, called just before the request is
+// taken. Danger: a process that stood still meanwhile sees that here.
+func (g *gate) holds(number uint64) bool {
+	now, _, ok := g.policy.Serves()
+	return ok && now == number && g.host.terms.Load().policy == number
+}
+
+// differs says how a file's settings differ from the policy that the host goes by; "": not at all.
+func (g *gate) differs(c *Config) string {
+	number := g.host.terms.Load().policy
+	g.mu.Lock()
+	p := g.ready[number]
+	g.mu.Unlock()
+	file, _ := c.tree["settings"].(map[string]any)
+	for _, key := range slices.Sorted(maps.Keys(file)) {
+		if !slices.Contains(ownKeys, key) && !reflect.DeepEqual(file[key], p.tree[key]) {
+			return fmt.Sprintf("settings.%s is another than in policy %d, which is in force: propose it", key, number)
+		}
+	}
+	return ""
+}
+
+// errFixed says that a file's settings are not taken where the fleet's policy is.
+var errFixed = errors.New("not the policy in force")
+
+// policyOf is the number that a response says; "": there is none.
+func policyOf(number uint64) string {
+	if number == 0 {
+		return ""
+	}
+	return strconv.FormatUint(number, 10)
+}
+
+// waits is how long a request's client waits, as far as its head says so.
+func waits(r *http.Request) time.Duration {
+	ms, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get("X-Timeout-Ms")), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond / 2
+}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"milletramp.example/milletramp/balance"
@@ -29,7 +30,7 @@
 func (h *host) reload(ctx context.Context, c *Config) *Config {
 	fresh, err := c.reload()
 	if err == nil {
-		if asked := h.ask(ctx, func() { err = h.configure(fresh) }); asked != nil {
+		if asked := h.ask(ctx, func() { err = h.reconfigure(fresh) }); asked != nil {
 			return c // the end
 		}
 	}
@@ -43,6 +44,18 @@
 	return fresh
 }
 
+// reconfigure takes a new file. Where the fleet has a policy its settings must be that one's.
+func (h *host) reconfigure(c *Config) error {
+	if h.gate == nil {
+		return h.configure(c)
+	}
+	if how := h.gate.differs(c); how != "" {
+		return fmt.Errorf("%w: %s", errFixed, how)
+	}
+	h.moveTo(c.Discovery)
+	return nil
+}
+
 // configure takes new settings. With an error, nothing has changed.
 func (h *host) configure(c *Config) error {
 	places, err := h.balancer.Configure(c.Settings)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -29,15 +29,15 @@
 }
 
 // Run is the sidecar, from its configuration to the end of its last request after stop is done. At each reload it
-// reads its configuration again.
-func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger) error {
-	return run(stop, reload, c, log, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
+// reads its configuration again. join begins its part in the fleet; nil: it can have none.
+func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, join Join) error {
+	return run(stop, reload, c, log, join, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
 		closeIdle: 300 * time.Millisecond, unused: 300 * time.Millisecond, listen: time.Second,
 		idle: idleWithin + 200*time.Millisecond}, func(*ops) {})
 }
 
 // run hands what the staff asks to started once it listens.
-func run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, times drainTimes, started func(*ops)) error {
+func run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, join Join, times drainTimes, started func(*ops)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
 
@@ -84,7 +84,7 @@
 	if err := staff.join(ctx); err != nil {
 		return err
 	}
-	leave, err := staff.joinFleet(stop, c, log)
+	leave, err := staff.joinFleet(stop, c, log, join)
 	if err != nil {
 		return err
 	}
@@ -110,6 +110,7 @@
 	defer inner.Close()
 	l := &drainListener{TCPListener: inner, quiet: times.quiet}
 	s := newServer(c, h, l)
+	s.gate = staff.gate
 	loop.Add(1)
 	go func() {
 		defer loop.Done()
@@ -172,6 +173,11 @@
 	if err := web.Close(); err != nil { // which holds nothing any more
 		return fmt.Errorf("close: %w", err)
 	}
+	// Danger: the console closes next, and whoever passes a call of the staff on to this process would be turned away. It has
+	// nothing in hand that a call could still concern.
+	if err := staff.family.member.Leave(); err != nil {
+		log.Warn("the next process takes this one for a living one until it has ended", "err", err)
+	}
 	log.Info("drained")
 	return nil
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -39,6 +39,7 @@
 	conns    *clientConns
 	draining atomic.Bool
 	ends     atomic.Int64 // when this process may be killed at the earliest, once it drains; in Unix nanoseconds
+	gate     *gate        // set before it serves; nil: the settings are those of the own file
 	room     *room        // for what of bodies goes beyond the usual
 }
 
@@ -125,6 +126,10 @@
 
 // api serves a request, or says why it cannot be taken.
 func (s *server) api(w http.ResponseWriter, r *http.Request, came time.Time) *fault {
+	gate := s.gate
+	if gate != nil && !gate.enter(r.Context(), waits(r)) {
+		return s.unserved(w, r)
+	}
 	c, wait, f := s.parse(r)
 	if f != nil {
 		return f
@@ -163,6 +168,23 @@
 	}
 	defer s.ids.end(c.id)
 	a, ok := s.host.serve(r.Context(), c)
+	for ok && a.kind == stale { // the policy has changed since the head was read
+		if !gate.enter(r.Context(), time.Until(c.deadline)) {
+			c.released()
+			return s.unserved(w, r)
+		}
+		again, _, f := s.parse(r)
+		if f != nil {
+			c.released()
+			return f
+		}
+		again.body, again.release, again.deadline = c.body, c.release, c.deadline
+		c = again
+		a, ok = s.host.serve(r.Context(), c)
+	}
+	if c.policy > 0 {
+		w.Header().Set(policyHeader, policyOf(c.policy))
+	}
 	if !ok {
 		// Danger: net/http ends a handler that wrote nothing with an empty 200, which a client that has closed
 		// only its sending reads as served.
@@ -185,6 +207,15 @@
 	return nil
 }
 
+// unserved refuses a request that no policy lets this sidecar take now.
+func (s *server) unserved(w http.ResponseWriter, r *http.Request) *fault {
+	if c, _, f := s.parse(r); f == nil {
+		c.counts.Dropped.Add(1)
+	}
+	answer{kind: refused, after: s.host.terms.Load().again}.write(w)
+	return nil
+}
+
 // body reads a request's body, in pieces of mostBody bytes at most. release gives back the room that it took.
 func (s *server) body(w http.ResponseWriter, r *http.Request, came time.Time) (body [][]byte, release func(), f *fault) {
 	conn, start := http.NewResponseController(w), came.Add(bodyGrace)
@@ -305,6 +336,7 @@
 	}
 	// Danger: a client that claims to wait for weeks would be held for weeks.
 	wait := min(time.Duration(ms)*time.Millisecond, class.Deadline)
+	c.policy = now.policy
 	c.term, c.tenant, c.retry = class, -1, r.Header.Get("X-Retried") == "1"
 	if tenant, ok := now.tenants[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
--- a/internal/sidecar/terms.go
+++ b/internal/sidecar/terms.go
@@ -17,6 +17,7 @@
 	classes map[string]*term
 	tenants map[string]int
 	again   time.Duration // when to come back if too many requests are held
+	policy  uint64        // its number; 0: they are of the own file
 }
 
 // term is one class. Requests keep it to their end.
--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -98,6 +98,11 @@
 	if err := probe.Close(); err != nil {
 		return nil, fmt.Errorf("mesh: %w", err)
 	}
+	for i := range n { // where sidecars are to listen: nothing is held there until they do
+		if err := free(netip.AddrPortFrom(m.host(inside, i), m.port)); err != nil {
+			return nil, errors.Join(errTaken, err)
+		}
+	}
 	for i := range n {
 		address := netip.AddrPortFrom(m.host(outside, i), m.port)
 		p, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
@@ -120,6 +125,19 @@
 	return m, nil
 }
 
+// free says why an address is not free.
+func free(a netip.AddrPort) error {
+	p, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return err
+	}
+	l, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(a))
+	if err != nil {
+		return errors.Join(err, p.Close())
+	}
+	return errors.Join(l.Close(), p.Close())
+}
+
 // Inside is where sidecar i listens.
 func (m *Mesh) Inside(i int) string { return netip.AddrPortFrom(m.host(inside, i), m.port).String() }
 
