Judge plays on sockets by how late the machine itself is, one package's plays at a time

Change: the referee's slack on sockets grows by the most by which requests were sent late, by 300 ms at most; packages that start many processes and judge by tenths of a second take turns by a lock in the temporary folder.

--- /dev/null
+++ b/internal/lab/aside/alone.go
@@ -0,0 +1,28 @@
+package aside
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Alone waits until no other package's plays in real time have the machine, and keeps it until release is called or the process ends.
+// It is for packages that start many processes and judge each by tenths of a second: two of them side by side judge each other. Who has
+// gone behind (see Run) has the machine at once, as it is in nobody's way.
+func Alone() (release func(), err error) {
+	// The system call gives 20 less the priority (getpriority(2)).
+	if p, err := syscall.Getpriority(syscall.PRIO_PROCESS, 0); err == nil && 20-p >= Nice {
+		return func() {}, nil
+	}
+	path := filepath.Join(os.TempDir(), fmt.Sprintf("milletramp-plays-%d", os.Getuid()))
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("plays in turn: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil {
+		_ = f.Close() // the lock is what was wanted
+		return nil, fmt.Errorf("plays in turn: %s: %w", path, err)
+	}
+	return func() { _ = f.Close() }, nil // closing it gives the lock up
+}
--- a/internal/lab/fleet/procs/procs_test.go
+++ b/internal/lab/fleet/procs/procs_test.go
@@ -15,6 +15,7 @@
 
 	"milletramp.example/milletramp/internal/fleet/gossip"
 	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/lab/aside"
 	"milletramp.example/milletramp/internal/lab/fleet/plan"
 	"milletramp.example/milletramp/internal/lab/fleet/referee"
 )
@@ -41,11 +42,16 @@
 			err = fmt.Errorf("%w\n%s", err, out)
 		}
 	}
+	release := func() {}
+	if err == nil {
+		release, err = aside.Alone()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	status := m.Run()
+	release()
 	_ = os.RemoveAll(dir) // what is left is the system's
 	os.Exit(status)
 }
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -65,28 +65,44 @@
 func (p Player) onSockets(ctx context.Context, s *scenario.Scenario, seed uint64, progress func(time.Duration)) (*report.Day, error) {
 	began := time.Now()
 	drawn := plan.New(s, seed)
-	terms := Terms(drawn, sockets.Slack)
-	// Where connections never come up, the wire shows no attempt while the sidecar waits for one; elsewhere an answer has
-	// to follow what was last out within the way there and the lateness of a machine that does all parts at once.
-	terms.OnTheWay = s.Network.Connect.Std() + 4*s.Network.Cross.Std() // nodes are seen, not the sidecars' sending
-	terms.PromptWithin = s.Network.Connect.Std() + 4*s.Network.Cross.Std() + 100*time.Millisecond
-	for _, a := range drawn.Acts {
-		if a.Op == plan.Vanish || a.Op == plan.CutZone {
-			terms.PromptWithin = time.Hour
-		}
-	}
-	meter, judge := report.NewMeter(drawn), referee.New(terms)
-	res, err := sockets.Run(ctx, drawn, sockets.Options{Command: p.Sidecar, Sink: record.Sinks{meter, judge}, Progress: progress,
+	meter, tape := report.NewMeter(drawn), &record.Tape{}
+	res, err := sockets.Run(ctx, drawn, sockets.Options{Command: p.Sidecar, Sink: record.Sinks{meter, tape}, Progress: progress,
 		Sidecars: p.Log})
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Name, err)
 	}
+	judge := referee.New(socketTerms(drawn, res.Late))
+	for i := range tape.Events {
+		judge.Record(&tape.Events[i])
+	}
 	d := Judge(drawn, meter, judge)
 	d.Plane, d.Policy, d.Took = "socket", p.Name(), time.Since(began).Seconds()
 	d.Late, d.RSS, d.Open = res.Late.Seconds(), res.MostRSS, res.MostOpen
 	return d, nil
 }
 
+// mostExcused is the most by which a machine that stands still excuses late answers. One that stands still for longer is not fit to
+// play on, and its breaches say so.
+const mostExcused = 300 * time.Millisecond
+
+// socketTerms are the terms of a play in real time. The clients' own lateness, the most by which a request was sent behind its time, is
+// how exactly this machine tells times that day: a sidecar beside them that answers as late was stood still with them.
+func socketTerms(drawn *plan.Plan, late time.Duration) referee.Terms {
+	s := drawn.Scenario
+	late = min(late, mostExcused)
+	terms := Terms(drawn, sockets.Slack+late)
+	// Where connections never come up, the wire shows no attempt while the sidecar waits for one; elsewhere an answer has
+	// to follow what was last out within the way there and the lateness of a machine that does all parts at once.
+	terms.OnTheWay = s.Network.Connect.Std() + 4*s.Network.Cross.Std() // nodes are seen, not the sidecars' sending
+	terms.PromptWithin = s.Network.Connect.Std() + 4*s.Network.Cross.Std() + 100*time.Millisecond + late
+	for _, a := range drawn.Acts {
+		if a.Op == plan.Vanish || a.Op == plan.CutZone {
+			terms.PromptWithin = time.Hour
+		}
+	}
+	return terms
+}
+
 // Point is one value of a sweep's knob.
 type Point struct {
 	Value   string              `json:"value"`
--- a/internal/lab/sockets/days_test.go
+++ b/internal/lab/sockets/days_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/goleak"
 
 	"milletramp.example/milletramp/internal/lab"
+	"milletramp.example/milletramp/internal/lab/aside"
 	"milletramp.example/milletramp/internal/lab/scenario"
 )
 
@@ -18,6 +19,11 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "../../../cmd/sidecar").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
+	release, err := aside.Alone()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
 	t.Cleanup(func() { goleak.VerifyNone(t, goleak.IgnoreTopFunction("testing.(*T).Run")) })
 	p := lab.Player{Sockets: true, Sidecar: []string{bin}}
 	t.Run("days", func(t *testing.T) {
--- /dev/null
+++ b/internal/lab/terms_test.go
@@ -0,0 +1,25 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"milletramp.example/milletramp/internal/lab/plan"
+	"milletramp.example/milletramp/internal/lab/sockets"
+)
+
+// TestSocketTerms: a machine on which requests are sent late excuses answers as late as that, and none that are later or than are
+// excused at the most.
+func TestSocketTerms(t *testing.T) {
+	drawn := plan.New(load(t, "short-calm"), 1)
+	calm := socketTerms(drawn, 0)
+	if calm.Slack != sockets.Slack {
+		t.Errorf("with nothing late the slack is %v, want %v", calm.Slack, sockets.Slack)
+	}
+	for _, tt := range []struct{ late, excused time.Duration }{{52 * time.Millisecond, 52 * time.Millisecond}, {5 * time.Second, mostExcused}} {
+		got := socketTerms(drawn, tt.late)
+		if got.Slack != calm.Slack+tt.excused || got.PromptWithin != calm.PromptWithin+tt.excused || got.DrainWithin != calm.DrainWithin+tt.excused {
+			t.Errorf("sent %v late: %+v", tt.late, got)
+		}
+	}
+}
