--- a/internal/standin/mesh/mesh.go
+++ b/internal/standin/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,9 +62,12 @@
 	blocks                  = 250
 )
 
-// block numbers the meshes of this process: each has addresses of its own, so that no port is another one's.
+// block numbers the meshes of this process: each has addresses of its own, so that no port is another one's. It begins where the
+// process's number says, so that plays in several processes at a time seldom meet.
 var block atomic.Uint32
 
+func init() { block.Store(uint32(os.Getpid())) }
+
 func (m *Mesh) host(side, i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(side), m.block, byte(i + 1)})
 }
