--- /dev/null
+++ b/deploy/main_test.go
@@ -0,0 +1,21 @@
+package deploy
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"milletramp.example/milletramp/internal/lab/aside"
+)
+
+// TestMain has the plays of these tests, which run the program and time it, beside no other package's.
+func TestMain(m *testing.M) {
+	release, err := aside.Alone()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	release()
+	os.Exit(status)
+}
--- a/internal/fleet/policy/holder.go
+++ b/internal/fleet/policy/holder.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	h.heard = g.Stamp
-	h.number, h.until, h.next = g.Number, sent+h.terms.shorter(g.For), 0
+	h.number, h.until, h.next, h.end = g.Number, sent+h.terms.shorter(g.For), 0, 0
 	if g.Next > 0 {
 		// It ends the one at the earliest and begins the other at the latest that the switch can be.
 		h.until = min(h.until, sent+h.terms.shorter(g.In))
@@ -66,8 +66,8 @@
 }
 
 // Serves tells under which policy a request may be taken now. Danger: the time must be read before each request, behind
-// whatever may have stopped the process. wait is how long a request would have to wait for the next policy, where that is
-// known.
+// whatever may have stopped the process. wait is after what time a request is to ask again, where that is worth its while: the next
+// policy is about to begin, or a promise has run out just now, and the answer that prolongs it is late.
 func (h *Holder) Serves(now Time) (number uint64, wait time.Duration, ok bool) {
 	switch {
 	case h.number > 0 && now < h.until && h.have[h.number]:
@@ -76,6 +76,11 @@
 		return h.next, 0, true
 	case h.next > 0 && now < h.from && h.have[h.next]:
 		return 0, h.from - now, false
+	case h.number > 0 && now < max(h.until, h.end)+h.terms.Short:
+		return 0, lookAgain, false
 	}
 	return 0, 0, false
 }
+
+// lookAgain is how soon a request that waits for a late answer asks again.
+const lookAgain = 5 * time.Millisecond
--- a/internal/fleet/policy/ledger_test.go
+++ b/internal/fleet/policy/ledger_test.go
@@ -90,6 +90,39 @@
 	})
 }
 
+// TestHolderWaits: a request asks again while the answer that prolongs a promise is late, for as long as a short promise lasts, and
+// not at all where nothing was promised. It is taken under none meanwhile.
+func TestHolderWaits(t *testing.T) {
+	const at, short = Time(time.Hour), 300 * time.Millisecond
+	terms := Terms{Length: 3 * time.Second, Short: short}
+	for _, tt := range []struct {
+		name  string
+		grant Grant
+		ends  time.Duration // of the last promise in it
+		waits bool
+	}{
+		{"a promise", Grant{Number: 1, For: time.Second}, time.Second, true},
+		{"a promise for the next one", Grant{Number: 1, For: short, Next: 2, In: short, After: time.Second}, short + time.Second, true},
+		{"nothing", Grant{}, 0, false},
+	} {
+		h := NewHolder("n", 1, terms)
+		h.have[1], h.have[2] = true, true
+		if _, wait, ok := h.Serves(at); ok || wait != 0 {
+			t.Errorf("before any answer: %v, %v", wait, ok)
+		}
+		tt.grant.Stamp = Stamp{1, 1}
+		h.Told(at, at, tt.grant)
+		for _, look := range []struct {
+			after time.Duration
+			waits bool
+		}{{tt.ends + time.Millisecond, tt.waits}, {tt.ends + short - time.Millisecond, tt.waits}, {tt.ends + short + time.Millisecond, false}} {
+			if _, wait, ok := h.Serves(at + look.after); ok || (wait > 0) != look.waits {
+				t.Errorf("%s, %v later: waits %v, serves %v; want to wait: %v", tt.name, look.after, wait, ok, look.waits)
+			}
+		}
+	}
+}
+
 // TestTerms turns down what no change could keep to.
 func TestTerms(t *testing.T) {
 	if err := UsualTerms.Check(); err != nil {
--- a/internal/lab/aside/alone.go
+++ b/internal/lab/aside/alone.go
@@ -7,10 +7,18 @@
 	"syscall"
 )
 
+const beside = "MILLETRAMP_PLAYS_BESIDE"
+
+// Beside is what to add to the environment of a test that need not be Alone: it plays what is to fail.
+const Beside = beside + "=1"
+
 // Alone waits until no other package's plays in real time have the machine, and keeps it until release is called or the process ends.
 // It is for packages that start many processes and judge each by tenths of a second: two of them side by side judge each other. Who has
-// gone behind (see Run) has the machine at once, as it is in nobody's way.
+// gone behind (see Run) has the machine at once, as it is in nobody's way, and so has who was told by Beside that it may share it.
 func Alone() (release func(), err error) {
+	if os.Getenv(beside) != "" {
+		return func() {}, nil
+	}
 	// The system call gives 20 less the priority (getpriority(2)).
 	if p, err := syscall.Getpriority(syscall.PRIO_PROCESS, 0); err == nil && 20-p >= Nice {
 		return func() {}, nil
