Give no address twice in the tests of the deploy file

Cause: 2 of 180 starts of five sidecars failed: of some twenty addresses that were found free and let go two were the same (the system gives a port again), and one sidecar could not listen. Change: an address is given once by a test process.

--- a/deploy/ops_test.go
+++ b/deploy/ops_test.go
@@ -53,14 +53,25 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
 }
 
+var given sync.Map // addresses that freeAddress has returned
+
+// freeAddress returns an address that it has returned to nobody else. Danger: the system gives a port that was let go again, and of
+// twenty addresses two are the same in one start of a hundred.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(own(), "0"))
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(own(), "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, twice := given.LoadOrStore(address, true); !twice {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // serve has a handler answer on loopback until the test's end.
