--- a/internal/lab/fleet/procs/procs.go
+++ b/internal/lab/fleet/procs/procs.go
@@ -48,6 +48,7 @@
 	usualEvery  = 200 * time.Millisecond
 	usualAsks   = 25 * time.Millisecond
 	startWithin = 30 * time.Second
+	callsAgain  = 3               // of the staff, where it is told that the fleet may not know
 	callWithin  = 5 * time.Second // the staff has an answer; that it is owed in 1 s is tested where nothing else runs
 	askWithin   = 5 * time.Second // an answer of a sidecar that lives
 	usualAnswer = 15 * time.Millisecond
@@ -742,6 +743,13 @@
 	if status == 0 && replaced { // the former process went with its console: the staff calls at the next one
 		status, text = s.get(http.MethodPost, path, fmt.Sprintf(`{"target":%q}`, server), callWithin)
 	}
+	// A sidecar that cannot say whether others know of it says so, and the staff calls again (docs/fleet.md).
+	for range callsAgain {
+		if status != http.StatusServiceUnavailable || !strings.Contains(text, "it holds here, and the fleet may not know") {
+			break
+		}
+		status, text = s.get(http.MethodPost, path, fmt.Sprintf(`{"target":%q}`, server), callWithin)
+	}
 	if status != 200 && !s.down(at-callWithin, s.play.now()) {
 		s.play.fail("%s answers a call on %s with %d %q", s.name, server, status, text)
 	}
