Hear of changes within 6 s after failed calls, and read lists in every form

Need: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed, and lists may come indented and in pieces. Lists were read line by line (bufio.ScanLines), so that an indented one ended the watch.

Change: a watch is silent after 3 s, the wait is drawn from 0.13 to 0.5 s and doubles to 1.5 s at most, and after a silence the whole list is asked for, whose answer is owed at once (1.2 s). The longest way is 5.7 s, as a sum of constants. A stream is parted into JSON objects; bytes count as progress for 2 s of one object. The address after SIGHUP is asked again within 1 s, not 2 s.

--- a/balance/api.go
+++ b/balance/api.go
@@ -114,6 +114,13 @@
 	Removed
 )
 
+// After a call of discovery that failed, the next one is made within FirstReask; the bound doubles with each
+// further failure, up to LongestReask.
+const (
+	FirstReask   = 500 * time.Millisecond
+	LongestReask = 1500 * time.Millisecond
+)
+
 // Endpoint is one entry of discovery's list.
 type Endpoint struct {
 	ID      string
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -284,11 +284,12 @@
 func (b *Balancer) Endpoints(now Time, kind ListKind, list []Endpoint) {
 	switch kind {
 	case ListRefused:
-		// Danger: sidecars that call again at once, all together, keep a weak list service from ever answering.
+		// Sidecars that call again at once, all together, keep a weak list service from ever answering. One
+		// that waits for long is told of changes too late.
 		b.subscribed = false
-		wait := min(time.Second<<min(b.refusals, 3), max(b.set.MustAsk/2, time.Second))
+		wait := min(FirstReask<<min(b.refusals, 8), LongestReask)
 		b.refusals++
-		b.act.Timer(time.Duration((1+b.rng.Float64())*float64(wait)/2), tokenAsk)
+		b.act.Timer(time.Duration((1+3*b.rng.Float64())*float64(wait)/4), tokenAsk)
 		return
 	case ListFull, ListRemembered:
 		for _, e := range b.endpoints {
--- a/internal/sidecar/churn_test.go
+++ b/internal/sidecar/churn_test.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	log := slog.New(slog.DiscardHandler)
-	h, err := newHost(ctx, c, log)
+	h, err := newHost(ctx, c, log, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,16 +15,29 @@
 	"milletramp.example/milletramp/balance"
 )
 
+// The times of the client of discovery. What discovery tells counts as told toldWithin after it had it and could be reached, whatever
+// calls failed before, so the longest way to a list has to stay under that: see longestUntold.
 const (
-	// watchSilence is how long a watch may be silent: discovery writes at least an empty line every 2 s. Danger: a
-	// machine that is cut off says nothing, and the old list would be believed for good, while 6 s after a change
-	// the sidecar counts as told of it.
-	watchSilence = 3500 * time.Millisecond
+	// watchSilence is how long a watch may be silent: discovery writes at least an empty line every 2 s. A machine that is cut off
+	// says nothing, and without this bound the list in hand would be believed for good.
+	watchSilence = 3 * time.Second
+	// firstListWithin is how long the first list may take of a watch that asks for the whole list. That list is answered at once.
+	firstListWithin = 1200 * time.Millisecond
+	// objectWithin is how long one list may take to come, in pieces, before its bytes no longer count as progress.
+	objectWithin = 2 * time.Second
 	// leastConnect is the least time that a connection to discovery gets to come up.
 	leastConnect = 500 * time.Millisecond
-	mostLine     = 4 << 20 // bytes of a watch's line
+	mostObject   = 4 << 20 // bytes of one list
+	toldWithin   = 6 * time.Second
 )
 
+// longestUntold is the longest time from a watch's last byte to a new list, with one more call that fails though discovery could be
+// reached: the silence is noticed, the call waits its turn, fails, waits again, and the next one is answered.
+const longestUntold = watchSilence + balance.FirstReask + firstListWithin + 2*balance.FirstReask
+
+// errSilent says that a watch was given up as nothing came.
+var errSilent = errors.New("discovery is silent")
+
 // Target is one server of discovery's list.
 type Target struct {
 	ID      string
@@ -100,59 +113,101 @@
 
 // discovery is the client of the list of servers.
 type discovery struct {
-	address string
-	client  *http.Transport
-	silence time.Duration
+	address   string
+	client    *http.Transport
+	silence   time.Duration
+	firstList time.Duration
+	object    time.Duration
 }
 
-func newDiscovery(address string, connect time.Duration) *discovery {
-	return &discovery{address: address, silence: watchSilence, client: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: max(connect, leastConnect)}).DialContext,
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newDiscovery returns a client of the discovery at address. dial nil: over TCP, with at least connect for a connection to come up.
+func newDiscovery(address string, connect time.Duration, dial dialFunc) *discovery {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: max(connect, leastConnect)}).DialContext
+	}
+	return &discovery{address: address, silence: watchSilence, firstList: firstListWithin, object: objectWithin, client: &http.Transport{
+		DialContext:        dial,
 		DisableCompression: true,
 		DisableKeepAlives:  true, // a watch lasts as long as its connection
 	}}
 }
 
-// watch asks for the changes after version from (below 0: none is held) and hands each list to told, until the watch
+// watch asks for the changes after version from (below 0: for the whole list) and hands each list to told, until the watch
 // ends. It always returns an error, which says why.
 func (d *discovery) watch(ctx context.Context, from int64, told func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
+	patience := d.silence
+	if from < 0 {
+		patience = min(d.firstList, d.silence)
+	}
+	silent := time.AfterFunc(patience, func() { cancel(fmt.Errorf("%w: nothing came for %v", errSilent, patience)) })
 	defer silent.Stop()
+	body, err := d.open(ctx, from)
+	if err != nil {
+		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
+	}
+	defer body.Close()
 
+	lists := &objects{}
+	came := func() {
+		if from >= 0 && lists.age() < d.object {
+			silent.Reset(d.silence)
+		}
+	}
+	in := bufio.NewScanner(&progress{body, came})
+	in.Buffer(nil, mostObject)
+	in.Split(lists.split)
+	for in.Scan() {
+		list, err := parseList(in.Bytes())
+		if err != nil {
+			return fmt.Errorf("watch: %w", err)
+		}
+		patience, from = d.silence, list.Rev
+		silent.Reset(d.silence)
+		told(list)
+	}
+	if err := in.Err(); err != nil {
+		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
+	}
+	return errors.New("watch: ended")
+}
+
+// open calls discovery and returns the body of its answer.
+func (d *discovery) open(ctx context.Context, from int64) (io.ReadCloser, error) {
 	url := "http://" + d.address + "/v1/servers?watch=1"
 	if from >= 0 {
 		url += "&from=" + strconv.FormatInt(from, 10)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return fmt.Errorf("watch: %w", err)
+		return nil, err
 	}
 	resp, err := d.client.RoundTrip(req)
 	if err != nil {
-		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
+		return nil, err
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("watch: status %d", resp.StatusCode)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, mostLine)
-	for lines.Scan() {
-		silent.Reset(d.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		list, err := parseList(line)
-		if err != nil {
-			return fmt.Errorf("watch: bad line: %w", err)
-		}
-		told(list)
+		_ = resp.Body.Close()
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("watch: %w", errors.Join(err, context.Cause(ctx)))
+	return resp.Body, nil
+}
+
+// progress calls came each time that something was read.
+type progress struct {
+	io.Reader
+	came func()
+}
+
+// Read implements io.Reader.
+func (p *progress) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	if n > 0 {
+		p.came()
 	}
-	return errors.New("watch: ended")
+	return n, err
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -66,8 +66,10 @@
 	figures  *stats.Figures
 	terms    atomic.Pointer[terms]
 	connect  time.Duration // for a connection to come up
-	ready    chan struct{} // closed once servers are known
-	heard    chan struct{} // closed once discovery has told
+	// dialDiscovery opens connections to discovery; nil: over TCP.
+	dialDiscovery dialFunc
+	ready         chan struct{} // closed once servers are known
+	heard         chan struct{} // closed once discovery has told
 
 	mu    sync.Mutex
 	queue []event
@@ -93,10 +95,10 @@
 	do func()
 }
 
-// newHost returns a host whose attempts and watches end with ctx.
-func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
+// newHost returns a host whose attempts and watches end with ctx. dial opens connections to discovery; nil: over TCP.
+func newHost(ctx context.Context, c *Config, log *slog.Logger, dial dialFunc) (*host, error) {
 	h := &host{log: log, origin: time.Now().Add(-originAge), ready: make(chan struct{}), heard: make(chan struct{}), wake: make(chan struct{}, 1),
-		figures: &stats.Figures{}, connect: c.Limits.ConnectTimeout,
+		figures: &stats.Figures{}, connect: c.Limits.ConnectTimeout, dialDiscovery: dial,
 		calls: map[balance.RequestID]*call{}, rev: -1, ctx: ctx, watches: watches{address: c.Discovery}}
 	h.upstream = newUpstream(c, &h.figures.Tries)
 	h.now = h.clock()
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,7 +12,7 @@
 // The wait before a new address of discovery is asked again doubles from the first to the longest.
 const (
 	firstReask   = 200 * time.Millisecond
-	longestReask = 2 * time.Second
+	longestReask = time.Second
 )
 
 // watches are those that the host holds open. The loop alone touches them.
@@ -20,6 +21,7 @@
 	current *watch // tells the news; nil: none does
 	next    *watch // at a new address, until it has answered; nil: none
 	reasked int    // times that the new address was asked in vain
+	silent  bool   // the last watch said nothing: the next one asks for the whole list, which is answered at once
 }
 
 // watch is one call of discovery.
@@ -85,7 +87,11 @@
 // Subscribe implements balance.Actions. It opens a watch if there is none.
 func (h *host) Subscribe() {
 	if w := &h.watches; w.current == nil && w.next == nil {
-		w.current = h.open(h.rev)
+		from := h.rev
+		if w.silent {
+			from = -1
+		}
+		w.current = h.open(from)
 	}
 }
 
@@ -93,7 +99,7 @@
 func (h *host) open(from int64) *watch {
 	ctx, cancel := context.WithCancel(h.ctx)
 	w := &watch{cancel}
-	d := newDiscovery(h.watches.address, h.connect)
+	d := newDiscovery(h.watches.address, h.connect, h.dialDiscovery)
 	go func() {
 		defer cancel()
 		err := d.watch(ctx, from, func(l List) { h.post(func() { h.told(w, l) }) })
@@ -121,6 +127,7 @@
 	if l.All {
 		kind = balance.ListFull
 	}
+	w.silent = false
 	h.rev = l.Rev
 	h.list(kind, l)
 }
@@ -142,7 +149,7 @@
 		})
 	case w.current:
 		h.log.Info("discovery", "err", err)
-		w.current = nil
+		w.current, w.silent = nil, w.silent || errors.Is(err, errSilent)
 		if w.next == nil { // else the new address is about to tell
 			h.balancer.Endpoints(h.now, balance.ListRefused, nil)
 		}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -43,7 +43,7 @@
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	h, err := newHost(ctx, c, log)
+	h, err := newHost(ctx, c, log, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -188,7 +188,7 @@
 }
 
 func TestWatchSilence(t *testing.T) {
-	d := newDiscovery(startRegistry(t).address, patience)
+	d := newDiscovery(startRegistry(t).address, patience, nil)
 	d.silence = 50 * time.Millisecond
 	err := d.watch(context.Background(), -1, func(List) { t.Error("a list") })
 	if err == nil || !strings.Contains(err.Error(), "nothing came for 50ms") {
@@ -235,7 +235,7 @@
 		cold bool
 	}{{booted, true}, {time.Time{}, false}, {booted.Add(-2 * originAge), false}} {
 		c.Known = List{Rev: 1, All: true, Targets: []Target{{ID: "s-0", Address: "127.0.0.1:9", Zone: "a", Kind: "m", Size: 1, Boot: tt.boot}}}
-		h, err := newHost(context.Background(), c, slog.New(slog.DiscardHandler))
+		h, err := newHost(context.Background(), c, slog.New(slog.DiscardHandler), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
