Look again before an attempt's first byte whether it is still due

Need: an attempt was checked when it was ordered, and again only for a server that is gone (upstream.go, pool.left). Its connection may come up 1.5 s later. Found on reading and forced by tests: one was then sent to a server that drained meanwhile; for a client that had left, where attempts may not be cancelled; and as a repeat after the time for which its class has repeats dropped. A client's close was not seen behind requests that it had sent before (net/http reads 4 KiB ahead): 80 of 100 queued requests were sent on after it.

Change: between connection and first byte the attempt is dropped as never sent where its server drains or is gone, its time is over, its request has its answer, or its client's connection is closed (poll for the peer's close). The unused connection is kept. balance.Actions.Send tells the time within which an attempt may begin in place of a timeout that was always 0: for repeats of keyed requests the window of the attempt that may have run, from its sending, less 125 ms.

TestChangedEndpoint asked for an attempt at a draining server to check that its connection is kept; it now asks that none is sent while it drains, and for the same connection afterwards.

--- a/balance/api.go
+++ b/balance/api.go
@@ -191,8 +191,9 @@
 // An action is called only during an event, in the order in which things are to be done, and must not call back
 // into the Balancer.
 type Actions interface {
-	// Send starts an attempt. Its timeout is the shorter of the given one (0: none) and the client's.
-	Send(id RequestID, endpoint string, timeout time.Duration)
+	// Send starts an attempt, which may wait for its connection. Where its first byte cannot be written within a
+	// time (0: any), it is not made, and its outcome is NotSent.
+	Send(id RequestID, endpoint string, within time.Duration)
 	// Cancel stops waiting for an attempt. Its Result follows.
 	Cancel(id RequestID, attempt int)
 	// Refuse is the final answer that promises that a retry does no harm.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,11 +111,12 @@
 	to.sent += now
 	q.paid = false
 	q.out++
+	within := q.startWithin(now)
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, owed: now, held: float64(to.inFlight) + unseen,
 		scale: scale})
 	b.sends++
 	to.last = b.sends
-	b.act.Send(q.ID, to.ID, 0)
+	b.act.Send(q.ID, to.ID, within)
 	token := tokenLate + uint64(q.ID)*mostTries + uint64(len(q.attempts)-1)
 	b.lookAgain(min(b.lateTime(q.Class), b.doubtTime(q, &q.attempts[len(q.attempts)-1])), token)
 }
@@ -192,7 +193,7 @@
 		case a.to == e:
 			return false
 		case a.done && !a.mayRun || c.Effect == Idempotent:
-		case c.Effect == AtMostOnce || now-a.sent >= c.DedupeWindow-time.Second/2,
+		case c.Effect == AtMostOnce || now-a.sent >= c.DedupeWindow-repeatMargin,
 			c.Scope == ScopeZone && a.to.Zone != e.Zone, c.Scope == ScopeCell && a.to.Cell != e.Cell:
 			return false
 		}
@@ -200,6 +201,18 @@
 	return true
 }
 
+// startWithin is how long the next attempt may take to begin, 0: any time. Where its connection came up late, a
+// repeat would arrive after the time for which the first attempt's repeats are dropped.
+func (q *request) startWithin(now Time) (within time.Duration) {
+	for _, a := range q.attempts {
+		if q.class.Effect == Deduplicated && (!a.done || a.mayRun) {
+			left := max(a.sent+q.class.DedupeWindow-arrivalMargin-now, 1)
+			within = min(cmp.Or(within, left), left)
+		}
+	}
+	return within
+}
+
 // mayRefuse tells whether a refusal, which invites a retry anywhere, is safe.
 func (b *Balancer) mayRefuse(q *request) bool {
 	repeats := q.class.Effect == Idempotent || q.class.Effect == Deduplicated && q.class.Scope == ScopeAll
--- a/balance/health.go
+++ b/balance/health.go
@@ -40,14 +40,17 @@
 	spillAt      = 0.5                    // of the shortest aim: above it an endpoint is full
 	crossAt      = 8.0                    // of the crossing charge, in aims: an answer that much sooner pays
 	refuseAt     = 0.85                   // of the shortest aim: no answer expected later is worth its work
-	workStep     = 0.05                   // weight of an answer in the mean time of its class
-	overBar      = 0.5                    // bar of requests beyond an allowance, as a share of their class's
-	coldEarly    = 2.0                    // shares that a cold endpoint gets at most
-	leastSubset  = 4                      // endpoints of a group that a sidecar uses at least: some may fail
-	mostTries    = 1 << 12                // of a request, that timers can tell apart
-	mostClasses  = 256                    // that may come and go by new settings
-	leastNear    = 0.001                  // weight of other zones at least: enough to know them
-	shiftStep    = 0.03                   // of the way to go, what a tick moves the weight of other zones
+	// Of the time for which repeats are dropped, what is left free before a repeat is chosen, and sent.
+	repeatMargin  = time.Second / 2
+	arrivalMargin = time.Second / 8
+	workStep      = 0.05    // weight of an answer in the mean time of its class
+	overBar       = 0.5     // bar of requests beyond an allowance, as a share of their class's
+	coldEarly     = 2.0     // shares that a cold endpoint gets at most
+	leastSubset   = 4       // endpoints of a group that a sidecar uses at least: some may fail
+	mostTries     = 1 << 12 // of a request, that timers can tell apart
+	mostClasses   = 256     // that may come and go by new settings
+	leastNear     = 0.001   // weight of other zones at least: enough to know them
+	shiftStep     = 0.03    // of the way to go, what a tick moves the weight of other zones
 )
 
 // usual is the time to get through a request held for each unit of size: answer times over held.
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -393,6 +393,33 @@
 	}
 }
 
+// TestRepeatsBeginInTime: a repeat of a keyed request may begin only as long as the attempt before it has its repeats dropped, counted
+// from the sending of that one, not from the request's arrival. Attempts at others may begin at any time.
+func TestRepeatsBeginInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		effect  Effect
+		outcome Outcome
+		want    time.Duration
+	}{
+		{"keyed, may have run", Deduplicated, Errored, 2*time.Second - arrivalMargin},
+		{"keyed, never ran", Deduplicated, ConnectFailed, 0},
+		{"idempotent", Idempotent, Errored, 0},
+		{"at most once, never ran", AtMostOnce, ConnectFailed, 0},
+	} {
+		set := settings()
+		set.Classes[0].Effect, set.Classes[0].Scope, set.Classes[0].DedupeWindow = tt.effect, ScopeAll, 5*time.Second
+		b, h := start(t, set, pair())
+		b.Request(h.now, Request{ID: 1, Tenant: -1, Within: 10 * time.Second})
+		if first := h.sent[0]; first.within != 0 {
+			t.Errorf("%s: the first attempt is to begin within %v", tt.name, first.within)
+		}
+		if h.answer(b, h.now+3*time.Second, tt.outcome); len(h.sent) != 1 || h.sent[0].within != tt.want {
+			t.Errorf("%s: %+v, want a repeat within %v", tt.name, h.sent, tt.want)
+		}
+	}
+}
+
 // TestTurnedAwayClassLeavesTheOthers has one endpoint turn one class away and serve the other: the first class goes
 // elsewhere, and the endpoint keeps its even share of the other class and passes for as quick as it is.
 func TestTurnedAwayClassLeavesTheOthers(t *testing.T) {
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -7,8 +7,9 @@
 
 // sending is one Send that a host was asked for.
 type sending struct {
-	id RequestID
-	to string
+	id     RequestID
+	to     string
+	within time.Duration
 }
 
 // host records what a Balancer asks for.
@@ -24,8 +25,8 @@
 	logs       []string
 }
 
-func (h *host) Send(id RequestID, endpoint string, _ time.Duration) {
-	h.sent = append(h.sent, sending{id, endpoint})
+func (h *host) Send(id RequestID, endpoint string, within time.Duration) {
+	h.sent = append(h.sent, sending{id, endpoint, within})
 }
 func (h *host) Cancel(RequestID, int) { h.cancelled++ }
 func (h *host) Refuse(id RequestID, after time.Duration) {
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -102,9 +102,9 @@
 	return nil
 }
 
-// Send implements balance.Actions, as do the methods after it.
-func (h *instance) Send(id balance.RequestID, endpoint string, timeout time.Duration) {
-	h.out.Send(h.number, id, endpoint, timeout)
+// Send implements balance.Actions, as do the methods after it. The simulator's wire has no bound on when an attempt begins.
+func (h *instance) Send(id balance.RequestID, endpoint string, _ time.Duration) {
+	h.out.Send(h.number, id, endpoint, 0)
 }
 
 // Cancel passes a cancellation on.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -503,7 +503,7 @@
 }
 
 // Send implements balance.Actions, as do the methods after it.
-func (c *sidecar) Send(id balance.RequestID, endpoint string, timeout time.Duration) {
+func (c *sidecar) Send(id balance.RequestID, endpoint string, within time.Duration) {
 	w := c.w
 	r := c.requests[id]
 	if r == nil {
@@ -516,9 +516,6 @@
 	way := w.way(c, a.to)
 	a.life = m.life
 	end := r.deadline
-	if timeout > 0 && w.now+timeout < end {
-		w.q.push(event{at: w.now + timeout, kind: evBack, att: a, status: uint8(record.TimedOut)})
-	}
 	if r.over || w.now >= end {
 		w.q.push(event{at: w.now, kind: evBack, att: a, status: uint8(record.Called)})
 		return
@@ -529,7 +526,10 @@
 		return
 	}
 	a.fresh = true
+	up := time.Duration(w.p.Scenario.Fleet.HandshakeRTTs * 2 * float64(way))
 	switch connect := w.p.Scenario.Network.Connect.Std(); {
+	case within > 0 && up > within:
+		w.q.push(event{at: w.now + within, kind: evBack, att: a, status: uint8(record.Called)})
 	case w.mute(c, a.to):
 		c.lost(a.to, r.ask.Class)
 		w.q.push(event{at: w.now + connect, kind: evBack, att: a, status: uint8(record.NotReached)})
@@ -537,7 +537,6 @@
 		w.q.push(event{at: w.now + 2*way, kind: evBack, att: a, status: uint8(record.NotReached)})
 	default:
 		m.conns++
-		up := time.Duration(w.p.Scenario.Fleet.HandshakeRTTs * 2 * float64(way))
 		a.begun = w.now + up
 		w.q.push(event{at: w.now + up + way, kind: evReach, att: a})
 	}
--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -56,7 +56,7 @@
 			})
 			u := to(t, b)
 			u.within.Store(int64(100 * time.Millisecond))
-			if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.Errored || r.body != nil {
+			if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.Errored || r.body != nil {
 				t.Errorf("outcome %d, body %q, want an error", r.outcome, r.body)
 			}
 			within(t, closed, "end of the connection")
@@ -83,7 +83,7 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+tt.header+"\r\nhal")
 			return tt.reset && hangUp(c, r, body)
 		})
-		r := to(t, b).attempt(context.Background(), "s-0", get(), whole)
+		r := to(t, b).attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole})
 		if r.outcome != tt.want || (string(r.body) == "hal") != (tt.want == balance.Served) {
 			t.Errorf("%s: outcome %d, body %q, want %d", tt.name, r.outcome, r.body, tt.want)
 		}
@@ -120,7 +120,7 @@
 			for i := range 3 {
 				m := get()
 				m.id = fmt.Sprint("id-", i)
-				r := u.attempt(context.Background(), "s-0", m, whole)
+				r := u.attempt(context.Background(), sending{server: "s-0", message: m, begins: whole})
 				if r.outcome != balance.Served || string(r.body) != m.id {
 					t.Fatalf("outcome %d, body %q for %q", r.outcome, r.body, m.id)
 				}
@@ -147,7 +147,7 @@
 	})
 	u := to(t, b)
 	for range 2 {
-		if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.Served || string(r.body) != "slot" {
+		if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.Served || string(r.body) != "slot" {
 			t.Fatalf("outcome %d, body %q", r.outcome, r.body)
 		}
 	}
@@ -167,7 +167,9 @@
 	})
 	u := to(t, b)
 	ended := make(chan reply, 1)
-	ask := func(id string) { ended <- u.attempt(context.Background(), id, get(), whole) }
+	ask := func(id string) {
+		ended <- u.attempt(context.Background(), sending{server: id, message: get(), begins: whole})
+	}
 	gate <- true
 	ask("s-0")
 	within(t, ended, "end")
@@ -202,13 +204,15 @@
 	})
 	u := to(t, quick, slow)
 	u.pool.most = 1
-	if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.Served {
+	if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.Served {
 		t.Fatalf("outcome %d", r.outcome)
 	}
 	ended := make(chan reply, 1)
-	go func() { ended <- u.attempt(context.Background(), "s-1", get(), whole) }()
+	go func() {
+		ended <- u.attempt(context.Background(), sending{server: "s-1", message: get(), begins: whole})
+	}()
 	within(t, slow.came, "request in the idle connection's place")
-	if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.NotSent {
+	if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.NotSent {
 		t.Errorf("outcome %d with no descriptor left", r.outcome)
 	}
 	close(gate)
@@ -229,6 +233,6 @@
 	})
 	u := to(t, b)
 	u.pool.rest.Store(int64(20 * time.Millisecond))
-	u.attempt(context.Background(), "s-0", get(), whole)
+	u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole})
 	within(t, closed, "end of the idle connection")
 }
--- /dev/null
+++ b/internal/sidecar/attempts_test.go
@@ -0,0 +1,174 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"milletramp.example/milletramp/balance"
+)
+
+// lateDial is a dial whose connections are up at once, and are given to whoever asked only when the test says so.
+type lateDial struct {
+	up   chan struct{} // gets one for each connection that is up
+	give chan struct{} // and each of these gives one
+}
+
+func newLateDial() *lateDial {
+	return &lateDial{up: make(chan struct{}, 100), give: make(chan struct{}, 100)}
+}
+
+func (d *lateDial) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := net.Dial(network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.up <- struct{}{}
+	select {
+	case <-d.give:
+		return c, nil
+	case <-ctx.Done():
+		c.Close()
+		return nil, ctx.Err()
+	}
+}
+
+// TestLateConnections has something come first while the connection of an attempt comes up. The attempt is not made then, and the
+// connection, which nothing was written on, is kept where the server is.
+func TestLateConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		event func(*upstream, *backend, *atomic.Bool)
+		open  int // connections that are left
+	}{
+		{"the server drains", func(u *upstream, b *backend, _ *atomic.Bool) {
+			u.update(parsed(t, listText(2, false, entry("s-0", b.address, "DRAINING", 0))))
+		}, 1},
+		{"a whole list leaves it out", func(u *upstream, _ *backend, _ *atomic.Bool) {
+			u.update(parsed(t, listText(2, true)))
+		}, 0},
+		{"it is removed", func(u *upstream, b *backend, _ *atomic.Bool) {
+			u.update(parsed(t, listText(2, false, entry("s-0", b.address, "DELETED", 0))))
+		}, 0},
+		{"it starts again", func(u *upstream, b *backend, _ *atomic.Bool) {
+			u.update(parsed(t, listText(2, false, entry("s-0", b.address, "SERVING", 1700000000000))))
+		}, 0},
+		{"it moves", func(u *upstream, _ *backend, _ *atomic.Bool) {
+			u.update(parsed(t, listText(2, false, entry("s-0", "127.0.0.1:9", "SERVING", 0))))
+		}, 0},
+		{"it is taken out by hand", func(u *upstream, _ *backend, _ *atomic.Bool) { u.bar("s-0", true) }, 0},
+		{"it is taken out and put back", func(u *upstream, _ *backend, _ *atomic.Bool) {
+			u.bar("s-0", true)
+			u.bar("s-0", false)
+		}, 0},
+		{"nobody waits any more", func(_ *upstream, _ *backend, withdrawn *atomic.Bool) { withdrawn.Store(true) }, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			b := startBackend(t, say(200, "", "ok"))
+			u, late := to(t, b), newLateDial()
+			u.pool.dial = late.dial
+			var withdrawn atomic.Bool
+			ended := make(chan reply, 1)
+			go func() {
+				ended <- u.attempt(context.Background(), sending{server: "s-0", message: post("k"), withdrawn: withdrawn.Load, begins: whole})
+			}()
+			within(t, late.up, "connection")
+			tt.event(u, b, &withdrawn)
+			late.give <- struct{}{}
+			if r := within(t, ended, "end"); r.outcome != balance.NotSent || b.count() != 0 {
+				t.Errorf("outcome %d, %d requests sent", r.outcome, b.count())
+			}
+			if u.pool.open != tt.open {
+				t.Errorf("%d connections are left, want %d", u.pool.open, tt.open)
+			}
+		})
+	}
+}
+
+// TestRepeatThatComesUpTooLate: an attempt whose connection is not up by its time is given up, and not sent once it is.
+func TestRepeatThatComesUpTooLate(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	u, late := to(t, b), newLateDial()
+	u.pool.dial = late.dial
+	s := sending{server: "s-0", message: post("k"), by: time.Now().Add(50 * time.Millisecond), begins: whole}
+	if r := u.attempt(context.Background(), s); r.outcome != balance.NotSent {
+		t.Errorf("outcome %d where no connection came up in time", r.outcome)
+	}
+	u.pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		<-ctx.Done() // and then it is there after all
+		return net.Dial(network, address)
+	}
+	s.by = time.Now().Add(50 * time.Millisecond)
+	if r := u.attempt(context.Background(), s); r.outcome != balance.NotSent || b.count() != 0 {
+		t.Errorf("outcome %d, %d requests sent behind their time", r.outcome, b.count())
+	}
+}
+
+// TestQueueOfOneWhoLeft has a client send many requests on a connection and end its sending while the first is out. The others stand
+// before the end that net/http waits for, more of them than it reads ahead, and none of them is sent on.
+func TestQueueOfOneWhoLeft(t *testing.T) {
+	gate := make(chan struct{})
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-gate
+		return say(200, "", "ok")(c, r, body)
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	c := p.dial()
+	var queue strings.Builder
+	for i := range 100 {
+		fmt.Fprintf(&queue, "%s\r\n", head("GET", fmt.Sprint("queued-", i), "read"))
+	}
+	if _, err := c.Write([]byte(queue.String())); err != nil {
+		t.Fatal(err)
+	}
+	within(t, b.came, "first request")
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	close(gate)
+	for buffer := make([]byte, 4096); ; {
+		if _, err := c.Read(buffer); err != nil {
+			break // all is answered, or the connection ended
+		}
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d more requests were sent on for a client that had left", n)
+	}
+}
+
+// TestGoneWhileConnecting has a client leave while the connection for its request comes up, where the settings let no attempt be
+// called off: it is not made, as it has not begun.
+func TestGoneWhileConnecting(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	settings := strings.Replace(testSettings, `"cancelling":true`, `"cancelling":false`, 1)
+	p, late := start(t, configText(startRegistry(t).address, serving(1, b), settings)), newLateDial()
+	u := p.staff.host.upstream
+	u.pool.dial = late.dial
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan gotten, 1)
+	go func() { ended <- p.do(p.request(ctx, "pay", "50000")) }()
+	within(t, late.up, "connection")
+	cancel()
+	within(t, ended, "end")
+	p.forgotten()
+	late.give <- struct{}{}
+	u.pool.dial = nil
+	if g := p.ask("pay"); g.body != "ok" || b.count() != 1 {
+		t.Errorf("answer %+v, %d requests sent, want the one that somebody waits for", g, b.count())
+	}
+}
+
+// forgotten waits until the program serves no request.
+func (p *program) forgotten() {
+	p.t.Helper()
+	for end := time.Now().Add(patience); p.staff.server.Load().ids.inHand.Load() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal("a request is held for good")
+		}
+	}
+}
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -180,6 +180,24 @@
 	return err == nil && n > 0
 }
 
+// hungUp tells whether the client has ended its sending, also where bytes that came before that are not read yet.
+func (c *clientConn) hungUp() bool {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inner.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err = raw.Control(func(fd uintptr) {
+		state[0].Fd = int32(fd)
+		_, err = unix.Poll(state, 0)
+	})
+	return err == nil && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // retire has c's reader end it, if it has nothing to read. The lock is held.
 func (l *clientConns) retire(c *clientConn, why stats.Cause) {
 	if c.closed || c.retired {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -52,8 +52,11 @@
 	// release gives back the room of the body, once no attempt can read it any more; nil: it took none.
 	release func()
 
+	// left tells whether its client has closed the connection; nil: nobody can tell.
+	left func() bool
+
 	number   balance.RequestID
-	over     bool // has its final answer
+	over     atomic.Bool // has its final answer; the loop sets it
 	attempts []context.CancelFunc
 	out      int
 }
@@ -175,6 +178,11 @@
 }
 
 func (h *host) begin(c *call) {
+	if c.gone() {
+		h.answer(c, answer{kind: failed})
+		c.released()
+		return
+	}
 	if h.gate != nil && !h.gate.holds(c.policy) {
 		h.answer(c, answer{kind: stale})
 		return
@@ -186,9 +194,24 @@
 		Within: c.deadline.Sub(h.origin) - h.now, Retry: c.retry, Terms: &c.Class})
 }
 
+// gone tells whether the client of a request has left, also where its connection still has bytes that nobody has read.
+func (c *call) gone() bool { return c.left != nil && c.left() }
+
+// withdrawn tells whether nobody waits for a request any more. No attempt at it may begin then.
+func (h *host) withdrawn(c *call) bool {
+	if c.over.Load() {
+		return true
+	}
+	gone := c.gone()
+	if gone {
+		h.post(func() { h.abandon(c, false) })
+	}
+	return gone
+}
+
 // abandon ends a request that nobody waits for any more, or that is overdue.
 func (h *host) abandon(c *call, overdue bool) {
-	if c.over {
+	if c.over.Load() {
 		if !overdue {
 			select {
 			case a := <-c.answered: // nobody takes it any more
@@ -210,8 +233,8 @@
 
 // answer gives a request its final answer. The first counts.
 func (h *host) answer(c *call, a answer) {
-	if c != nil && !c.over {
-		c.over = true
+	if c != nil && !c.over.Load() {
+		c.over.Store(true)
 		c.answered <- a
 	}
 }
@@ -227,37 +250,32 @@
 
 // forget lets go of a request that has its answer and has nothing out.
 func (h *host) forget(c *call) {
-	if c.over && c.out == 0 {
+	if c.over.Load() && c.out == 0 {
 		delete(h.calls, c.number)
 		c.released()
 	}
 }
 
 // Send implements balance.Actions, as do the methods after it. It starts an attempt.
-func (h *host) Send(id balance.RequestID, endpoint string, timeout time.Duration) {
+func (h *host) Send(id balance.RequestID, endpoint string, within time.Duration) {
 	c := h.calls[id]
 	if c == nil {
 		return
 	}
 	n, sent := len(c.attempts), h.now
-	end := c.deadline
-	if timeout != 0 {
-		if own := h.origin.Add(sent + timeout); own.Before(end) {
-			end = own
-		}
-	}
-	ctx, cancel := context.WithDeadline(h.ctx, end)
-	if c.over {
-		cancel() // Danger: an attempt after the final answer would be an effect that nobody knows of.
-	}
+	ctx, cancel := context.WithDeadline(h.ctx, c.deadline)
 	c.attempts = append(c.attempts, cancel)
 	c.out++
 	go func() {
 		begun := false
-		r := h.upstream.attempt(ctx, endpoint, &c.message, func(r reply) bool {
+		s := sending{server: endpoint, message: &c.message, withdrawn: func() bool { return h.withdrawn(c) }, begins: func(r reply) bool {
 			begun = h.begins(c, n, endpoint, sent, r)
 			return begun
-		})
+		}}
+		if within > 0 {
+			s.by = h.origin.Add(sent + within)
+		}
+		r := h.upstream.attempt(ctx, s)
 		cancel()
 		if !begun {
 			h.post(func() { h.result(c, n, endpoint, sent, r) })
@@ -270,7 +288,7 @@
 func (h *host) begins(c *call, n int, endpoint string, sent balance.Time, r reply) (wins bool) {
 	decided := make(chan bool, 1)
 	h.post(func() {
-		if c.over {
+		if c.over.Load() {
 			decided <- false
 			return
 		}
@@ -287,11 +305,13 @@
 
 // result takes in how an attempt ended.
 func (h *host) result(c *call, n int, endpoint string, sent balance.Time, r reply) {
-	wins := r.outcome == balance.Served && !c.over
-	c.over = c.over || wins
+	wins := r.outcome == balance.Served && !c.over.Load()
+	if wins {
+		c.over.Store(true)
+	}
 	c.out--
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
-		Took: h.now - sent, Finished: c.over})
+		Took: h.now - sent, Finished: c.over.Load()})
 	if wins { // Danger: a second copy that is not called off before would be sent after the final answer.
 		c.answered <- answer{kind: served, body: r.body, ctype: r.ctype, rest: r.rest}
 	}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -18,14 +18,23 @@
 // errNoSocket says that the descriptors do not allow one more connection.
 var errNoSocket = errors.New("no descriptor left for a connection")
 
-// errGone says that the server was taken out, removed or restarted while a connection to it came up.
-var errGone = errors.New("server is gone")
+// errNotDue says that an attempt was not made as something came before it, while its connection came up. The other errors say what.
+var errNotDue = errors.New("not sent")
+
+var (
+	errGone      = fmt.Errorf("%w: the server was taken out, removed or restarted", errNotDue)
+	errDraining  = fmt.Errorf("%w: the server drains", errNotDue)
+	errTooLate   = fmt.Errorf("%w: the time for it is over", errNotDue)
+	errWithdrawn = fmt.Errorf("%w: nobody waits for it", errNotDue)
+)
 
 // pool holds the connections to the servers, one request at a time on each. http.Transport is not used: it may put a
 // connection back with bytes behind the answer, and take them for the answer to the next request.
 type pool struct {
-	connect atomic.Int64 // nanoseconds that a connection may take to come up
-	rest    atomic.Int64 // and that an idle one is kept
+	dial dialFunc // nil: over TCP
+
+	connectWithin atomic.Int64 // nanoseconds that a connection may take to come up
+	rest          atomic.Int64 // and that an idle one is kept
 
 	mu    sync.Mutex
 	most  int // connections open at once, over all servers
@@ -40,6 +49,7 @@
 	boot    time.Time
 	// answered is when it last did, in Unix nanoseconds.
 	answered atomic.Int64
+	draining atomic.Bool   // it finishes what it has
 	gone     bool          // removed, moved or restarted: the pool's lock guards it and idle
 	idle     []*serverConn // the longest idle first
 }
@@ -90,7 +100,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	c, err := p.dial(ctx, to)
+	c, err := p.connect(ctx, to)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -99,9 +109,13 @@
 	return c, err
 }
 
-func (p *pool) dial(ctx context.Context, to *target) (*serverConn, error) {
-	dialer := net.Dialer{Timeout: time.Duration(p.connect.Load()), KeepAlive: -1}
-	inner, err := dialer.DialContext(ctx, "tcp", to.address)
+// connect opens a connection to a server.
+func (p *pool) connect(ctx context.Context, to *target) (*serverConn, error) {
+	dial := p.dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: time.Duration(p.connectWithin.Load()), KeepAlive: -1}).DialContext
+	}
+	inner, err := dial(ctx, "tcp", to.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -167,6 +167,7 @@
 		return nil
 	}
 	defer s.ids.end(c.id)
+	c.left = leaving(r)
 	a, ok := s.host.serve(r.Context(), c)
 	for ok && a.kind == stale { // the policy has changed since the head was read
 		if !gate.enter(r.Context(), time.Until(c.deadline)) {
@@ -178,7 +179,7 @@
 			c.released()
 			return f
 		}
-		again.body, again.release, again.deadline = c.body, c.release, c.deadline
+		again.body, again.release, again.deadline, again.left = c.body, c.release, c.deadline, c.left
 		c = again
 		a, ok = s.host.serve(r.Context(), c)
 	}
@@ -207,6 +208,13 @@
 	return nil
 }
 
+// leaving returns what tells whether the client of a request has left. net/http sees its close only once all that came before it is
+// read, which other requests may be.
+func leaving(r *http.Request) (left func() bool) {
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	return func() bool { return r.Context().Err() != nil || conn != nil && conn.hungUp() }
+}
+
 // unserved refuses a request that no policy lets this sidecar take now.
 func (s *server) unserved(w http.ResponseWriter, r *http.Request) *fault {
 	if c, _, f := s.parse(r); f == nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -72,7 +72,7 @@
 // configure takes new limits.
 func (u *upstream) configure(l wire.Limits) {
 	u.within.Store(int64(l.ConnectTimeout))
-	u.pool.connect.Store(int64(l.ConnectTimeout))
+	u.pool.connectWithin.Store(int64(l.ConnectTimeout))
 	u.pool.rest.Store(int64(l.IdleClose / 2)) // half of the time after which servers close keeps well clear of it
 }
 
@@ -105,6 +105,9 @@
 		if old == nil && listed[e.ID] {
 			u.targets[e.ID] = &target{address: e.Address, boot: e.Boot}
 		}
+		if to := u.targets[e.ID]; to != nil {
+			to.draining.Store(e.State == balance.Draining)
+		}
 	}
 	for id := range u.targets {
 		if list.All && !listed[id] {
@@ -129,18 +132,46 @@
 	delete(u.targets, id)
 }
 
-// attempt sends m to a server and waits for the end, until ctx is done. It sends it at most once. Where a long answer has
+// sending is an attempt as it is ordered.
+type sending struct {
+	server  string
+	message *message
+	by      time.Time // its first byte is written before then, or never; zero: at any time
+	// withdrawn tells whether nobody waits for the request any more; nil: somebody does.
+	withdrawn func() bool
+	// begins tells whether a long answer that has come in part is to be passed on.
+	begins func(reply) bool
+}
+
+// notDue tells why an attempt whose connection is up must not begin any more, or nil. A connection may come up long after it was asked
+// for, and another event may have come first.
+func (u *upstream) notDue(s *sending, to *target) error {
+	switch {
+	case u.pool.left(to):
+		return errGone
+	case to.draining.Load():
+		return errDraining
+	case !s.by.IsZero() && !time.Now().Before(s.by):
+		return errTooLate
+	case s.withdrawn != nil && s.withdrawn():
+		return errWithdrawn
+	}
+	return nil
+}
+
+// attempt sends a message to a server and waits for the end, until ctx is done. It sends it at most once. Where a long answer has
 // come in part it asks begins whether that is passed on. If it is, the attempt lasts until all of it is, whatever ctx
 // says, and its reply tells nothing more.
-func (u *upstream) attempt(ctx context.Context, id string, m *message, begins func(reply) bool) reply {
+func (u *upstream) attempt(ctx context.Context, s sending) reply {
+	m := s.message
 	u.mu.Lock()
-	to, barred := u.targets[id], u.barred[id]
+	to, barred := u.targets[s.server], u.barred[s.server]
 	u.mu.Unlock()
-	if to == nil || barred || ctx.Err() != nil {
+	if to == nil || barred || ctx.Err() != nil || u.notDue(&s, to) != nil {
 		return reply{outcome: balance.NotSent}
 	}
 	begun := time.Now()
-	c, err := u.pool.take(ctx, to)
+	c, err := u.connect(ctx, &s, to)
 	if err != nil {
 		return u.failed(ctx, to, begun, false, err)
 	}
@@ -149,9 +180,10 @@
 	request, body := m.request(ctx, to.address)
 	// Danger: a deadline set by another goroutine comes too late for a second copy that is called off as it is sent.
 	n, err := 0, ctx.Err()
-	if err == nil && u.pool.left(to) {
-		err = errGone
+	if err == nil {
+		err = u.notDue(&s, to)
 	}
+	unused := err != nil // the connection has had nothing written
 	if err == nil {
 		n, err = c.Write(request)
 	}
@@ -178,14 +210,14 @@
 		switch {
 		case !on:
 			err = ctx.Err()
-		case !begins(r): // another attempt's answer was there before
+		case !s.begins(r): // another attempt's answer was there before
 			u.pool.put(c, false)
 			return reply{outcome: balance.Cancelled}
 		default:
 			clean = <-r.rest.passed
 		}
 	}
-	u.pool.put(c, on && clean && c.SetReadDeadline(time.Time{}) == nil)
+	u.pool.put(c, on && (clean || unused) && c.SetReadDeadline(time.Time{}) == nil)
 	if err != nil {
 		return u.failed(ctx, to, begun, ran, err)
 	}
@@ -193,6 +225,20 @@
 	return r
 }
 
+// connect takes a connection for an attempt. One that would come up too late for it is not waited for.
+func (u *upstream) connect(ctx context.Context, s *sending, to *target) (*serverConn, error) {
+	if s.by.IsZero() {
+		return u.pool.take(ctx, to)
+	}
+	within, cancel := context.WithDeadline(ctx, s.by)
+	defer cancel()
+	c, err := u.pool.take(within, to)
+	if err != nil && within.Err() != nil && ctx.Err() == nil {
+		return nil, errTooLate
+	}
+	return c, err
+}
+
 // receive waits for the answer and reads it. Danger: an answer that stops midway, as one whose length is too long,
 // would hold its request to the end.
 func (u *upstream) receive(ctx context.Context, c *serverConn) (reply, bool, error) {
@@ -212,7 +258,7 @@
 func (u *upstream) failed(ctx context.Context, to *target, begun time.Time, ran bool, err error) reply {
 	cause := ctx.Err()
 	switch {
-	case errors.Is(err, errNoSocket) || errors.Is(err, errGone) || errors.Is(cause, context.Canceled) && !ran:
+	case errors.Is(err, errNoSocket) || errors.Is(err, errNotDue) || errors.Is(cause, context.Canceled) && !ran:
 		return reply{outcome: balance.NotSent}
 	case errors.Is(cause, context.Canceled):
 		return reply{outcome: balance.Cancelled}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -75,7 +75,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			for _, m := range []*message{get(), post(""), post("k")} {
 				b := startBackend(t, tt.do)
-				r := to(t, b).attempt(context.Background(), "s-0", m, taken)
+				r := to(t, b).attempt(context.Background(), sending{server: "s-0", message: m, begins: taken})
 				if r.outcome != tt.want {
 					t.Errorf("%s with key %q: outcome %d, want %d", m.method, m.key, r.outcome, tt.want)
 				}
@@ -108,7 +108,7 @@
 		{"unknown server", "s-9", context.Background(), balance.NotSent},
 		{"called off before", "s-0", over, balance.NotSent},
 	} {
-		if r := u.attempt(tt.ctx, tt.to, post(""), whole); r.outcome != tt.want {
+		if r := u.attempt(tt.ctx, sending{server: tt.to, message: post(""), begins: whole}); r.outcome != tt.want {
 			t.Errorf("%s: outcome %d, want %d", tt.name, r.outcome, tt.want)
 		}
 	}
@@ -145,7 +145,7 @@
 	u := to(t, b)
 	late := newEndable()
 	ended := make(chan reply, 1)
-	go func() { ended <- u.attempt(late, "s-0", post(""), whole) }()
+	go func() { ended <- u.attempt(late, sending{server: "s-0", message: post(""), begins: whole}) }()
 	within(t, b.came, "request")
 	late.end()
 	if r := within(t, ended, "end"); r.outcome != balance.TimedOut {
@@ -154,7 +154,7 @@
 	b = startBackend(t, silent)
 	u = to(t, b)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { ended <- u.attempt(ctx, "s-0", post(""), whole) }()
+	go func() { ended <- u.attempt(ctx, sending{server: "s-0", message: post(""), begins: whole}) }()
 	within(t, b.came, "request")
 	cancel()
 	if r := within(t, ended, "end"); r.outcome != balance.Cancelled {
@@ -175,10 +175,10 @@
 			return hangUp(c, r, body)
 		})
 		u := to(t, b)
-		if r := u.attempt(context.Background(), "s-0", m, taken); r.outcome != balance.Served {
+		if r := u.attempt(context.Background(), sending{server: "s-0", message: m, begins: taken}); r.outcome != balance.Served {
 			t.Fatalf("first outcome %d", r.outcome)
 		}
-		if r := u.attempt(context.Background(), "s-0", m, taken); r.outcome != balance.Reset {
+		if r := u.attempt(context.Background(), sending{server: "s-0", message: m, begins: taken}); r.outcome != balance.Reset {
 			t.Errorf("%s with key %q: outcome %d, want a reset", m.method, m.key, r.outcome)
 		}
 		if n := b.count(); n != 2 {
@@ -195,7 +195,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	to(t, b).attempt(ctx, "s-0", post("k-7"), whole)
+	to(t, b).attempt(ctx, sending{server: "s-0", message: post("k-7"), begins: whole})
 	r := within(t, b.came, "request")
 	if r.Method != "POST" || r.RequestURI != "/api?k=a%20b" || r.Header.Get("X-Request-ID") != "id-1" ||
 		r.Header.Get("Idempotency-Key") != "k-7" || r.Header.Get("Accept-Encoding") != "" || r.ContentLength != 4 {
@@ -219,13 +219,17 @@
 	})
 	u := to(t, b)
 	ask := func() net.Conn {
-		if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.Served {
+		if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.Served {
 			t.Fatalf("outcome %d", r.outcome)
 		}
 		return within(t, conns, "connection")
 	}
 	first := ask()
 	u.update(parsed(t, listText(2, false, entry("s-0", b.address, "DRAINING", 0))))
+	if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.NotSent {
+		t.Errorf("outcome %d at a server that drains", r.outcome)
+	}
+	u.update(parsed(t, listText(2, false, entry("s-0", b.address, "SERVING", 0))))
 	if ask() != first {
 		t.Error("a change of state cost the connection")
 	}
@@ -234,7 +238,7 @@
 		t.Error("a request went to the former process's connection")
 	}
 	u.update(parsed(t, listText(4, false, entry("s-0", b.address, "DELETED", 0))))
-	if r := u.attempt(context.Background(), "s-0", get(), whole); r.outcome != balance.NotSent {
+	if r := u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole}); r.outcome != balance.NotSent {
 		t.Errorf("outcome %d at a removed server", r.outcome)
 	}
 	u.update(parsed(t, listText(5, false, entry("s-0", b.address, "SERVING", 0))))
@@ -259,7 +263,9 @@
 		u := to(t, b)
 		ended := make(chan reply, 2)
 		for range 2 {
-			go func() { ended <- u.attempt(context.Background(), "s-0", get(), whole) }()
+			go func() {
+				ended <- u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole})
+			}()
 		}
 		old := map[net.Conn]bool{within(t, conns, "connection"): true, within(t, conns, "connection"): true}
 		for range 2 {
@@ -267,7 +273,7 @@
 			within(t, ended, "end")
 		}
 		ctx, want := newEndable(), balance.Reset
-		go func() { ended <- u.attempt(ctx, "s-0", get(), whole) }()
+		go func() { ended <- u.attempt(ctx, sending{server: "s-0", message: get(), begins: whole}) }()
 		if c := within(t, conns, "connection"); !old[c] {
 			t.Fatal("the request did not reuse a connection")
 		}
@@ -281,7 +287,9 @@
 		if r := within(t, ended, "end"); r.outcome != want {
 			t.Errorf("outcome %d, want %d", r.outcome, want)
 		}
-		go func() { ended <- u.attempt(context.Background(), "s-0", get(), whole) }()
+		go func() {
+			ended <- u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole})
+		}()
 		if c := within(t, conns, "connection"); old[c] {
 			t.Error("a request went to an idle connection of a server that failed")
 		}
