Let a server's connection rest 20 ms after an answer before it has another request

Need: a second answer may come some milliseconds after the first. The pool looked for stray bytes when it took a connection (quiet), so one that came just after that was taken for the answer to the next request: forced by TestSecondAnswer, "id-0" was served to id-1.

Change: an idle connection is used again only 20 ms after its answer; until then another one is opened or used.

Tests: TestSecondAnswer fails without it (run), -race -count=20 passes.

--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// TestSecondAnswer has a server send one more answer as soon as a second request comes on a connection. A connection that has just had
+// an answer gets no request, so that nobody takes the one for the other.
+func TestSecondAnswer(t *testing.T) {
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		id := r.Header.Get("X-Request-Id")
+		say(200, "", id)(c, r, body)
+		_, _ = c.Read(make([]byte, 1)) // until more comes
+		say(200, "", id)(c, r, body)
+		return false
+	})
+	u := to(t, b)
+	u.pool.settles = time.Hour
+	for i := range 3 {
+		m := get()
+		m.id = fmt.Sprint("id-", i)
+		r := u.attempt(context.Background(), sending{server: "s-0", message: m, begins: whole})
+		if r.outcome != balance.Served || string(r.body) != m.id {
+			t.Errorf("outcome %d, body %q to %s", r.outcome, r.body, m.id)
+		}
+	}
+	if u.pool.open != 3 {
+		t.Errorf("%d connections, want one for each request", u.pool.open)
+	}
+}
+
 // TestQueueOfOneWhoLeft has a client send many requests on a connection and end its sending while the first is out. The others stand
 // before the end that net/http waits for, more of them than it reads ahead, and none of them is sent on.
 func TestQueueOfOneWhoLeft(t *testing.T) {
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -31,7 +31,8 @@
 // pool holds the connections to the servers, one request at a time on each. http.Transport is not used: it may put a
 // connection back with bytes behind the answer, and take them for the answer to the next request.
 type pool struct {
-	dial dialFunc // nil: over TCP
+	dial    dialFunc      // nil: over TCP
+	settles time.Duration // that a connection rests after an answer, before it has another request
 
 	connectWithin atomic.Int64 // nanoseconds that a connection may take to come up
 	rest          atomic.Int64 // and that an idle one is kept
@@ -71,7 +72,11 @@
 	place   *list.Element // in the pool's list; nil: it has a request
 }
 
-func newPool(most int) *pool { return &pool{most: most, idle: list.New()} }
+// settleTime is how long a connection rests after an answer. A server that is at fault may send a second answer some milliseconds after
+// the first, and that would be taken for the answer to the next request.
+const settleTime = 20 * time.Millisecond
+
+func newPool(most int) *pool { return &pool{most: most, idle: list.New(), settles: settleTime} }
 
 // kept is how long an idle connection is kept.
 func (p *pool) kept() time.Duration { return time.Duration(p.rest.Load()) }
@@ -80,7 +85,7 @@
 // a server still has to say on it has had the most time to come.
 func (p *pool) take(ctx context.Context, to *target) (*serverConn, error) {
 	p.mu.Lock()
-	for len(to.idle) > 0 {
+	for len(to.idle) > 0 && time.Since(to.idle[0].since) >= p.settles {
 		c := to.idle[0]
 		p.unlist(c)
 		if time.Since(c.since) < p.kept() && c.quiet() {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -27,6 +27,7 @@
 func to(t *testing.T, backends ...*backend) *upstream {
 	u := newUpstream(&Config{Sockets: defaultSockets, MemoryMB: defaultMemoryMB,
 		Limits: wire.Limits{ConnectTimeout: patience, IdleClose: patience}}, &atomic.Int64{})
+	u.pool.settles = 0
 	u.update(parsed(t, serving(1, backends...)))
 	t.Cleanup(func() { u.update(List{All: true}) })
 	return u
