Read a connection to its end behind its last answer, and end it by any answer of a drain

A connection closed over bytes that nobody has read is reset, and what of the last answer is on its way goes with it; net/http closes behind an answer with Connection: close at once, and its half-close for bad requests never came about, as clientConn (conns.go) hid CloseWrite. An answer whose request came before the word to stop did not say that its connection ends (server.go asked at the request's start), so that it was closed later, perhaps under a next request.

Change: behind an answer the sending ends first, and the rest is read for 200 ms at most, less where the descriptor is wanted. Connections that idle are closed at once as before: a request that crosses that finds a reset, and knows that it was not read.

--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -19,6 +19,13 @@
 // close those that came just before it, with their first requests on the way.
 const leastIdle = 20 * time.Millisecond
 
+// lingerTime bounds how long a connection is read to its end behind its last answer, and lingerStep how soon it is closed after all where
+// its descriptor is wanted.
+const (
+	lingerTime = 200 * time.Millisecond
+	lingerStep = 20 * time.Millisecond
+)
+
 // past is a deadline that is over.
 var past = time.Unix(1, 0)
 
@@ -59,6 +66,8 @@
 	partial bool        // and a part of another one
 	retired bool        // its reader reads no more, if nothing is left to read
 	last    bool        // its next answer ends it
+	active  bool        // it has a request, or has just had an answer and is kept no longer
+	closing bool        // its Close was called
 	over    bool        // it has had its last answer, but lingers
 	why     stats.Cause // that it was retired for
 }
@@ -119,6 +128,60 @@
 	return n, err
 }
 
+// Close implements net.Conn. Behind an answer it first ends the sending and reads on for a time: closing over bytes that nobody has read
+// resets the connection, and what of the answer is still on its way is lost with it. A connection that idles is closed at once: a
+// request that comes just then finds it reset, so that its client knows that it was not read.
+func (c *clientConn) Close() error {
+	if c.owner.lingers(c) {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending. net/http does so behind the answer to what it cannot read.
+func (c *clientConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// linger ends the sending and reads what comes until the client's end, for lingerTime at most.
+func (c *clientConn) linger() {
+	if c.CloseWrite() != nil {
+		return // it is closed already
+	}
+	unread := make([]byte, 4<<10)
+	for end := time.Now().Add(lingerTime); time.Now().Before(end) && !c.owner.full(); {
+		if c.Conn.SetReadDeadline(time.Now().Add(lingerStep)) != nil {
+			return
+		}
+		_, err := c.Conn.Read(unread)
+		for err == nil && time.Now().Before(end) {
+			_, err = c.Conn.Read(unread)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+}
+
+// lingers tells, the first time, whether c has had an answer just now and its descriptor is not wanted.
+func (l *clientConns) lingers(c *clientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := !c.closing
+	c.closing = true
+	return first && (c.active || c.over) && l.open < l.most
+}
+
+// full tells whether there is no room for one more connection.
+func (l *clientConns) full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open >= l.most
+}
+
 // SetReadDeadline implements net.Conn. A retired connection keeps the one it has.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.owner.mu.Lock()
@@ -273,6 +336,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.active = state == http.StateActive
 	switch state {
 	case http.StateActive:
 		if !c.used && !c.closed {
--- /dev/null
+++ b/internal/sidecar/linger_test.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"milletramp.example/milletramp/internal/stats"
+)
+
+// lastAnswer reads one answer from c, and fails the test if its connection does not end in order behind it.
+func lastAnswer(t *testing.T, c net.Conn, status int) {
+	t.Helper()
+	in := bufio.NewReader(c)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != status || !resp.Close {
+		t.Errorf("answer %+v, error %v, want %d and the connection's end", resp, err, status)
+	}
+	if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+		t.Errorf("%q and error %v behind the last answer, want its end", rest, err)
+	}
+}
+
+// TestLastAnswerBeforeUnreadBytes: bytes that nobody reads do not cost the answer that goes before them, and are no request.
+func TestLastAnswerBeforeUnreadBytes(t *testing.T) {
+	t.Run("too large a body", func(t *testing.T) {
+		b := startBackend(t, say(200, "", "ok"))
+		p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+		c := p.dial()
+		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head("POST", "large", "pay"), 2*mostRequest, strings.Repeat("x", 300<<10))
+		lastAnswer(t, c, http.StatusRequestEntityTooLarge)
+		if n := b.count(); n != 0 {
+			t.Errorf("%d requests were sent on", n)
+		}
+	})
+	t.Run("requests behind the last one of a stop", func(t *testing.T) {
+		gate := make(chan struct{})
+		b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+			<-gate
+			return say(200, "", "ok")(c, r, body)
+		})
+		p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+		c := p.dial()
+		var queue strings.Builder
+		for i := range 200 { // more than net/http reads ahead
+			fmt.Fprintf(&queue, "%s\r\n", head("GET", fmt.Sprint("queued-", i), "read"))
+		}
+		if _, err := c.Write([]byte(queue.String())); err != nil {
+			t.Fatal(err)
+		}
+		within(t, b.came, "first request")
+		p.stop()
+		p.deaf()
+		close(gate)
+		lastAnswer(t, c, http.StatusOK)
+		if n := b.count(); n != 0 {
+			t.Errorf("%d requests were sent on behind the last one", n)
+		}
+		if err := within(t, p.ended, "end"); err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+		p.ended <- nil // for the cleanup
+	})
+}
+
+// TestLingeringMakesRoom: a connection is read on behind its last answer until its client ends it, but not where its descriptor is wanted.
+func TestLingeringMakesRoom(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		most  int
+		reset bool // its client finds it reset
+	}{{"room is left", 2, false}, {"none is left", 1, true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newClientConns(listen(t), tt.most, tt.most, &stats.Unserved{})
+			out, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer out.Close()
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := accepted.(*clientConn)
+			l.state(c, http.StateActive)
+			if _, err := out.Write(make([]byte, 1000)); err != nil {
+				t.Fatal(err)
+			}
+			for !c.waiting() {
+				time.Sleep(time.Millisecond) // for the bytes to come
+			}
+			closed := make(chan error, 1)
+			go func() { closed <- c.Close() }()
+			if _, err := io.ReadAll(out); (err != nil) != tt.reset {
+				t.Errorf("error %v, want a reset: %v", err, tt.reset)
+			}
+			out.Close()
+			if err := within(t, closed, "close"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -191,6 +191,9 @@
 		// only its sending reads as served.
 		panic(http.ErrAbortHandler)
 	}
+	if s.draining.Load() { // also where it was told so since the request came
+		w.Header().Set("Connection", "close")
+	}
 	// Danger: a client that reads no answers would hold its handler for good.
 	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if a.rest != nil {
