--- /dev/null
+++ b/deploy/names_test.go
@@ -0,0 +1,145 @@
+package deploy
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+)
+
+// siteNames are what the settings of one customer name.
+type siteNames struct {
+	Name  string
+	Net   struct{ Zones []string }
+	Class []struct{ Name string }
+	Tier  []struct {
+		Name string
+		Kind []struct{ Name string }
+	}
+	Tenant []struct{ Name string }
+}
+
+// distinct are the names that are no words of common use; kinds may be.
+func (s *siteNames) distinct() (names []string) {
+	names = append(names, s.Name)
+	names = append(names, s.Net.Zones...)
+	for _, c := range s.Class {
+		names = append(names, c.Name)
+	}
+	for _, t := range s.Tier {
+		names = append(names, t.Name)
+	}
+	for _, t := range s.Tenant {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
+func (s *siteNames) kinds() (names []string) {
+	for _, t := range s.Tier {
+		for _, k := range t.Kind {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
+
+// operators is the deployment in service, whose file is not in the repository.
+const operators = `
+name = "linen-tracking"
+net = { zones = ["reykjavik", "akureyri", "egilsstadir"] }
+class = [{ name = "bag-status" }, { name = "par-update" }, { name = "delivery-record" }]
+tier = [{ name = "linen-api", kind = [{ name = "large" }, { name = "standard" }, { name = "old" }] }]
+`
+
+// foreign returns the names of sites that a Go file holds: distinct ones anywhere but as a part of another word, kinds as a whole text.
+func foreign(t *testing.T, file string, distinct *regexp.Regexp, kinds map[string]bool) (found []string) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found = distinct.FindAllString(string(text), -1)
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, text, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		if literal, ok := n.(*ast.BasicLit); ok && literal.Kind == token.STRING {
+			if value, err := strconv.Unquote(literal.Value); err == nil && kinds[value] {
+				found = append(found, value)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+// TestNoSiteIsNamed: classes, tenants, zones, kinds and tiers come from the settings alone. No site's occur in the programs in service.
+func TestNoSiteIsNamed(t *testing.T) {
+	variants, err := filepath.Glob(filepath.Join("sites", "*.toml"))
+	if err != nil || len(variants) < 2 {
+		t.Fatalf("variants %q, error %v", variants, err)
+	}
+	sites := make([]siteNames, len(variants)+1)
+	if _, err := toml.Decode(operators, &sites[0]); err != nil {
+		t.Fatal(err)
+	}
+	for i, file := range variants {
+		if _, err := toml.DecodeFile(file, &sites[i+1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var names []string
+	kinds := map[string]bool{}
+	for _, s := range sites {
+		if len(s.Class) == 0 || len(s.Net.Zones) == 0 || len(s.kinds()) == 0 {
+			t.Fatalf("%+v names no classes, zones or kinds", s)
+		}
+		for _, name := range s.distinct() {
+			names = append(names, regexp.QuoteMeta(name))
+		}
+		for _, name := range s.kinds() {
+			kinds[name] = true
+		}
+	}
+	distinct := regexp.MustCompile(`\b(` + strings.Join(names, "|") + `)\b`)
+	d, files := read(t), 0
+	for _, folder := range append([]string{"balance", "cmd/adapter", "cmd/fleetsidecar", "internal/member", "internal/fleet"}, d.Node...) {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, _ os.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+				files++
+				for _, name := range foreign(t, path, distinct, kinds) {
+					t.Errorf("%s names %q, which is one customer's", path, name)
+				}
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if files < 60 {
+		t.Errorf("only %d files were looked at", files)
+	}
+}
+
+// TestForeignNamesAreFound: the check itself finds a distinct name in a comment, a kind as a whole text, and neither in other words.
+func TestForeignNamesAreFound(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x.go")
+	text := "package x\n\n// As bag-status wants it.\nvar kind, other = \"old\", \"too old for bag-statuses\"\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	found := foreign(t, file, regexp.MustCompile(`\b(bag-status)\b`), map[string]bool{"old": true})
+	if strings.Join(found, " ") != "bag-status old" {
+		t.Errorf("found %q", found)
+	}
+}
