Answer what is in hand before the kill that the settings in force announce

Need: after SIGTERM the process may be killed once the longest deadline (3 s at most) and 0.7 s are over. Found on reading: the deadline was that of the settings at the start (run.go gave drain c.Settings), also after a SIGHUP with shorter ones; and only requests that came after SIGTERM were bounded by it (server.go, api), so that one with a deadline of 6 s that was out at a hanging server had no answer at the kill.

Change: drain goes by the settings in force, and the host gives up what is open 0.2 s before the kill.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -88,6 +88,7 @@
 	isReady  bool
 	hasHeard bool
 	watches  watches
+	ends     time.Time      // what is open then is given up, as the process may be killed; zero: it goes on
 	gate     *gate          // nil: the settings are those of the own file
 	listed   func([]Server) // is told each list; nil: nobody is
 }
@@ -190,6 +191,7 @@
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
+	h.giveUpInTime(c)
 	h.balancer.Request(h.now, balance.Request{ID: c.number, Class: c.place, Tenant: c.tenant,
 		Within: c.deadline.Sub(h.origin) - h.now, Retry: c.retry, Terms: &c.Class})
 }
@@ -209,6 +211,21 @@
 	return gone
 }
 
+// endBy has all requests answered by a time, those in hand too: one may have longer to go than this process has.
+func (h *host) endBy(ends time.Time) {
+	h.ends = ends
+	for _, c := range h.calls {
+		h.giveUpInTime(c)
+	}
+}
+
+// giveUpInTime has a request given up where the process ends before its deadline.
+func (h *host) giveUpInTime(c *call) {
+	if !h.ends.IsZero() && h.ends.Before(c.deadline) {
+		time.AfterFunc(time.Until(h.ends), func() { h.post(func() { h.abandon(c, true) }) })
+	}
+}
+
 // abandon ends a request that nobody waits for any more, or that is overdue.
 func (h *host) abandon(c *call, overdue bool) {
 	if c.over.Load() {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -148,7 +148,7 @@
 	// goes on accepting and serving first, and only asks clients to close.
 	succeeded := staff.family.successor()
 	log.Info("draining", "succeeded", succeeded)
-	s.drain(c.Settings)
+	s.drain()
 	if err := staff.family.member.Update(func(s *handover.State) { s.Phase = handover.Draining }); err != nil {
 		log.Warn("the next process does not know that this one drains", "err", err)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -61,13 +61,19 @@
 )
 
 // drain has answers end their connections from now on, and requests be answered before this process may be killed.
-func (s *server) drain(set balance.Settings) {
-	longest := time.Duration(0)
-	for _, c := range set.Classes {
+func (s *server) drain() {
+	ends := time.Now().Add(min(s.longestDeadline(), killDeadline) + killAfter - killMargin)
+	s.ends.Store(ends.UnixNano())
+	s.draining.Store(true)
+	s.host.post(func() { s.host.endBy(ends) })
+}
+
+// longestDeadline is that of the settings in force now: the platform goes by its newest file.
+func (s *server) longestDeadline() (longest time.Duration) {
+	for _, c := range s.host.terms.Load().classes {
 		longest = max(longest, c.Deadline)
 	}
-	s.ends.Store(time.Now().Add(min(longest, killDeadline) + killAfter - killMargin).UnixNano())
-	s.draining.Store(true)
+	return longest
 }
 
 // connKey is the key of a request's *clientConn in its context.
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -305,3 +306,27 @@
 		}
 	}
 }
+
+// TestStopUnderNewSettings stops a process whose settings were replaced by ones with shorter deadlines, while a request of the old ones
+// is out at a server that hangs: the platform kills it by the new ones, and before that the request has its answer.
+func TestStopUnderNewSettings(t *testing.T) {
+	b := startBackend(t, silent)
+	text := configText(startRegistry(t).address, serving(1, b), testSettings)
+	p := start(t, text)
+	held := make(chan gotten, 1)
+	go func() { held <- p.do(p.request(context.Background(), "pay", "50000")) }()
+	within(t, b.came, "attempt")
+	p.hangup(strings.ReplaceAll(strings.ReplaceAll(text, `"deadline_s":60.0`, `"deadline_s":0.3`), `"aim_s":20.0`, `"aim_s":0.2`))
+	p.figuresAre("loads", "1", "load_errors", "0")
+	if longest := p.staff.server.Load().longestDeadline(); longest != 300*time.Millisecond {
+		t.Errorf("the platform kills by a deadline of 300ms, the process goes by %v", longest)
+	}
+	p.stop()
+	if g := within(t, held, "answer"); g.status != http.StatusBadGateway {
+		t.Errorf("answer %+v to a request that was out at the kill", g)
+	}
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	p.ended <- nil // for the cleanup
+}
