Cut an answer that does not end once its client's time is over

Need: an answer whose length is not told is passed on 150 ms after its first bytes. Where the server then stopped, the client was held for 5 s (stream.go, stall), and where it went on bit by bit, for ever: past the 0.5 s behind its time after which a request without an end counts as lost. Found on reading, forced by a test.

Change: an answer of at most 64 KiB may have its client wait for the server until its time and 0.25 s; then its connection ends, which the client can tell from a whole answer. Time in which the client itself is slow does not count. Longer answers keep the pause of 5 s, as only their first bytes are timed.

Test: TestAnswersThatNeverEnd fails without each part (run), -race -count=10 passes.

--- a/internal/sidecar/answer_test.go
+++ b/internal/sidecar/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -236,3 +237,58 @@
 	u.attempt(context.Background(), sending{server: "s-0", message: get(), begins: whole})
 	within(t, closed, "end of the idle connection")
 }
+
+// TestAnswersThatNeverEnd: an answer of untold length that stops, or goes on bit by bit, is cut once its client's time is over, so that
+// the client can tell that it is not whole. A long one that pauses for as long is passed on to its end.
+func TestAnswersThatNeverEnd(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n"
+	stop := make(chan struct{})
+	defer close(stop)
+	rest := make(chan struct{})
+	for _, tt := range []struct {
+		name string
+		do   func(net.Conn, *http.Request, []byte) bool
+		cut  bool
+	}{
+		{"it stops", func(c net.Conn, _ *http.Request, _ []byte) bool {
+			fmt.Fprint(c, begin)
+			<-stop
+			return false
+		}, true},
+		{"it trickles", func(c net.Conn, _ *http.Request, _ []byte) bool {
+			fmt.Fprint(c, begin)
+			for {
+				select {
+				case <-stop:
+					return false
+				case <-time.After(20 * time.Millisecond):
+				}
+				if _, err := fmt.Fprint(c, "1\r\nx\r\n"); err != nil {
+					return false
+				}
+			}
+		}, true},
+		{"a long one pauses", func(c net.Conn, _ *http.Request, _ []byte) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nx", mostBody+1)
+			<-rest
+			fmt.Fprint(c, strings.Repeat("x", mostBody))
+			return true
+		}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := start(t, configText(startRegistry(t).address, serving(1, startBackend(t, tt.do)), testSettings))
+			resp, err := p.client.Do(p.request(context.Background(), "pay", "600"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !tt.cut {
+				time.AfterFunc(time.Second, func() { close(rest) }) // the client's time and the grace are over
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if tt.cut != errors.Is(err, io.ErrUnexpectedEOF) || !tt.cut && len(body) != mostBody+1 {
+				t.Errorf("%d bytes, error %v, want a cut: %v", len(body), err, tt.cut)
+			}
+		})
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -203,7 +203,7 @@
 	// Danger: a client that reads no answers would hold its handler for good.
 	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if a.rest != nil {
-		return s.pass(w, r, conn, a, c.counts)
+		return s.pass(w, r, conn, a, c)
 	}
 	a.write(w)
 	switch a.kind {
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -8,15 +8,16 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"milletramp.example/milletramp/internal/stats"
 )
 
 const (
 	passPiece  = 16 << 10 // bytes of a long answer that are held at once
 	sendBuffer = 64 << 10 // bytes of it that may wait in the client's connection
-	// stall is how long a server may pause in an answer that is being passed on. Danger: one that vanishes says nothing.
+	// stall is how long a server may pause in an answer that is being passed on: one that vanishes says nothing.
 	stall = 5 * time.Second
+	// lateGrace is how long after its client's time an answer of usual length may still end. Its client counts it as lost 0.5 s after
+	// that time, and as failed where it was told before that it has no end.
+	lateGrace = 250 * time.Millisecond
 )
 
 // serverBody is a body as a server sends it. Read returns what has come, without waiting for more, and io.EOF at the
@@ -92,12 +93,12 @@
 
 // pass passes a long answer on. Danger: what the server cuts off must not look whole to the client: its connection ends
 // before the length is met, or before the chunks' end.
-func (s *server) pass(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, a answer, counts *stats.Class) *fault {
+func (s *server) pass(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, a answer, c *call) *fault {
 	whole, ours := false, false
 	// Danger: a full send buffer takes more when a third of it is free. A slow client would take a large one's third for
 	// longer than any piece may take.
-	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if client, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		if tcp, ok := client.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(sendBuffer) // the system's own is only worse
 		}
 	}
@@ -109,7 +110,7 @@
 	if n := a.rest.body.length; n >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
-	a.rest.body.c.pause = stall
+	passed, left := int64(0), time.Until(c.deadline.Add(lateGrace))
 	buffer := pieces.Get().(*[passPiece]byte)
 	defer pieces.Put(buffer)
 	for piece := a.body; ; {
@@ -117,25 +118,38 @@
 			ours = true // the client is gone, or takes less than it must
 			break
 		}
+		passed += int64(len(piece))
 		if a.rest.body.over() {
 			whole = true
 			break
 		}
+		asked := time.Now()
+		a.rest.body.c.pause = mayPause(max(passed, a.rest.body.length), left)
 		n, err := a.rest.body.Read(buffer[:])
+		left -= time.Since(asked)
 		if piece = buffer[:n]; err != nil && !errors.Is(err, io.EOF) {
 			break
 		}
 	}
 	switch {
 	case whole:
-		counts.Passed.Add(1)
+		c.counts.Passed.Add(1)
 		return nil
 	case !ours:
-		counts.BadGateway.Add(1)
+		c.counts.BadGateway.Add(1)
 	}
 	panic(http.ErrAbortHandler)
 }
 
+// mayPause is how long a server may pause in an answer of at least this length, where it may have its client wait for so much longer in
+// all. Of a long answer only the first bytes have to be in time.
+func mayPause(length int64, left time.Duration) time.Duration {
+	if length > mostBody {
+		return stall
+	}
+	return min(stall, max(left, time.Nanosecond))
+}
+
 // send sends a piece of an answer. The time it may take is the piece's own.
 func send(w http.ResponseWriter, conn *http.ResponseController, piece []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(stall)); err != nil {
