Have the kernel send new connections to the next process before the old listener closes

Need: in an upgrade two listeners share the address, and the kernel spreads connections over both.

Change: Multipath TCP is off for the clients' address; an old process that has a ready successor sets a filter that chooses the newer listener, and a process that starts removes what a former one has set. Where the kernel refuses, a warning is logged and all is as before.

--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -25,6 +25,7 @@
 		}
 		return err
 	}}
+	config.SetMultipathTCP(false) // the kernel lets no filter choose among listeners that have it (turnAway)
 	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -32,6 +33,42 @@
 	return l.(*net.TCPListener), nil
 }
 
+// secondListener is a filter that chooses the second of the sockets that share an address.
+var secondListener = []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}}
+
+// turnAway sends connections that come from now on to the listener that shares the address and began after this one, as long as that is
+// there. The kernel spreads them over all listeners, also over one that is about to close, and closing that resets those it holds that
+// were not accepted yet. Sockets of one address are counted in the order in which they began, so that the older of two is the
+// first; where there is no second one, the kernel chooses as it did before.
+func (l *drainListener) turnAway() error {
+	return l.control(func(fd int) error {
+		program := unix.SockFprog{Len: uint16(len(secondListener)), Filter: &secondListener[0]}
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF, &program)
+	})
+}
+
+// takeTurns removes the filter that a former process has set: with a next process both are to have connections.
+func (l *drainListener) takeTurns() error {
+	err := l.control(func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_REUSEPORT_BPF, 0) })
+	if errors.Is(err, unix.ENOENT) { // there is none
+		return nil
+	}
+	return err
+}
+
+// control sets an option of the listener's socket.
+func (l *drainListener) control(set func(fd int) error) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = set(int(fd)) }); err != nil {
+		return err
+	}
+	return os.NewSyscallError("setsockopt", failed)
+}
+
 // drainListener goes on accepting for some time after it is told to stop.
 type drainListener struct {
 	*net.TCPListener
--- /dev/null
+++ b/internal/sidecar/listen_test.go
@@ -0,0 +1,101 @@
+package sidecar
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestListenersHandOver has clients open connections all the time while one listener after another takes over the address: none is reset.
+func TestListenersHandOver(t *testing.T) {
+	rounds := max(*stopRounds, 100)
+	log := slog.New(slog.DiscardHandler)
+	var serving sync.WaitGroup
+	begin := func(address string) (*drainListener, chan struct{}) {
+		inner, err := listenShared(address, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, ended := &drainListener{TCPListener: inner, quiet: time.Millisecond}, make(chan struct{})
+		if err := l.takeTurns(); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			defer close(ended)
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				serving.Add(1)
+				go func() {
+					defer serving.Done()
+					defer c.Close()
+					_, _ = io.CopyN(c, c, 1)
+				}()
+			}
+		}()
+		return l, ended
+	}
+	l, ended := begin("127.0.0.1:0")
+	address := l.Addr().String()
+	var stop atomic.Bool
+	var clients sync.WaitGroup
+	var asked atomic.Int64
+	wrong := make(chan error, 100*rounds)
+	for range 4 * runtime.GOMAXPROCS(0) {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for !stop.Load() {
+				if err := echo(address); err != nil {
+					wrong <- err
+				}
+				asked.Add(1)
+			}
+		}()
+	}
+	for range rounds {
+		next, nextEnded := begin(address)
+		if err := l.turnAway(); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.drain(0); err != nil {
+			t.Fatal(err)
+		}
+		<-ended
+		l, ended = next, nextEnded
+	}
+	stop.Store(true)
+	clients.Wait()
+	_ = l.Close()
+	<-ended
+	serving.Wait()
+	t.Logf("%d connections, %d reset", asked.Load(), len(wrong))
+	if len(wrong) > 0 {
+		t.Errorf("%d of %d connections failed, first: %v", len(wrong), asked.Load(), <-wrong)
+	}
+}
+
+// echo opens a connection, and has a byte come back on it.
+func echo(address string) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_ = c.(*net.TCPConn).SetLinger(0) // no port waits
+	if _, err := c.Write([]byte("x")); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return nil
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -109,6 +109,9 @@
 	}
 	defer inner.Close()
 	l := &drainListener{TCPListener: inner, quiet: times.quiet}
+	if err := l.takeTurns(); err != nil {
+		log.Debug("the kernel chooses among the processes of this address", "err", err)
+	}
 	s := newServer(c, h, l)
 	s.gate = staff.gate
 	loop.Add(1)
@@ -154,6 +157,9 @@
 	}
 	if succeeded {
 		times.accept, times.closeIdle = 0, times.idle // the next process takes what comes
+		if err := l.turnAway(); err != nil {
+			log.Warn("connections that come just now may be reset", "err", err)
+		}
 	}
 	closeIdle := time.Now().Add(times.closeIdle)
 	idle := time.AfterFunc(times.closeIdle, func() { s.conns.retireIdle(times.unused) })
