Do not cut an answer that its server is still giving, however late

Change: such an answer is cut only in a pause of 1 s at least, once its client's time and 0.25 s are over. One that trickles for ever goes on until its client leaves.

--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -18,6 +18,9 @@
 	// lateGrace is how long after its client's time an answer of usual length may still end. Its client counts it as lost 0.5 s after
 	// that time, and as failed where it was told before that it has no end.
 	lateGrace = 250 * time.Millisecond
+	// leastStall is how long a server may pause in any case. Whether an answer of untold length is a long one, of which only the first
+	// bytes are timed, is not known while it comes: one that a server is still giving must not be cut off.
+	leastStall = time.Second
 )
 
 // serverBody is a body as a server sends it. Read returns what has come, without waiting for more, and io.EOF at the
@@ -110,7 +113,7 @@
 	if n := a.rest.body.length; n >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
-	passed, left := int64(0), time.Until(c.deadline.Add(lateGrace))
+	passed := int64(0)
 	buffer := pieces.Get().(*[passPiece]byte)
 	defer pieces.Put(buffer)
 	for piece := a.body; ; {
@@ -123,10 +126,8 @@
 			whole = true
 			break
 		}
-		asked := time.Now()
-		a.rest.body.c.pause = mayPause(max(passed, a.rest.body.length), left)
+		a.rest.body.c.pause = mayPause(max(passed, a.rest.body.length), c.deadline)
 		n, err := a.rest.body.Read(buffer[:])
-		left -= time.Since(asked)
 		if piece = buffer[:n]; err != nil && !errors.Is(err, io.EOF) {
 			break
 		}
@@ -141,13 +142,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// mayPause is how long a server may pause in an answer of at least this length, where it may have its client wait for so much longer in
-// all. Of a long answer only the first bytes have to be in time.
-func mayPause(length int64, left time.Duration) time.Duration {
+// mayPause is how long a server may pause in an answer of at least this length, to a client whose time ends at deadline.
+func mayPause(length int64, deadline time.Time) time.Duration {
 	if length > mostBody {
 		return stall
 	}
-	return min(stall, max(left, time.Nanosecond))
+	return min(stall, max(time.Until(deadline.Add(lateGrace)), leastStall))
 }
 
 // send sends a piece of an answer. The time it may take is the piece's own.
