Take early turns of cold servers from the multiple of the settings that fells them

Need: a request that finds no other place may go to a cold server in an early turn, at most two shares in all; what fells the server comes from the settings (fall_multiple), and no decision used it (health.go, coldEarly).

Change: early turns are two shares or half of the multiple, whichever is less. For multiples of 4 and more nothing changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -201,8 +201,8 @@
 	return true
 }
 
-// startWithin is how long the next attempt may take to begin, 0: any time. Where its connection came up late, a
-// repeat would arrive after the time for which the first attempt's repeats are dropped.
+// startWithin is how long the next attempt may take to begin, 0: any time. Where its connection came up late,
+// a repeat would arrive after the time for which the first attempt's repeats are dropped.
 func (q *request) startWithin(now Time) (within time.Duration) {
 	for _, a := range q.attempts {
 		if q.class.Effect == Deduplicated && (!a.done || a.mayRun) {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -18,6 +21,8 @@
 	next  RequestID
 	out   []answerDue // in order
 	sends map[string][]Time
+	full  map[string]float64 // share that an endpoint turns away at once
+	share []float64          // of the traffic, by sidecar, summed up; nil: all have the same
 }
 
 type answerDue struct {
@@ -60,6 +65,28 @@
 	h.sent = h.sent[:0]
 }
 
+// restart replaces a sidecar by one that knows the list alone, as its process was killed.
+func (f *party) restart(t tester, i int, set Settings, list []Endpoint) {
+	set.Self, set.Peers, set.Seed = i, len(f.all), f.rng.Uint64()
+	b, err := New(set, f.hosts[i])
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.all[i] = b
+	f.out = slices.DeleteFunc(f.out, func(d answerDue) bool { return d.by == i })
+	b.Endpoints(f.now, ListRemembered, list)
+	f.took(i)
+}
+
+// whose draws the sidecar that gets the next request.
+func (f *party) whose() int {
+	if f.share == nil {
+		return f.rng.IntN(len(f.all))
+	}
+	x := f.rng.Float64() * f.share[len(f.share)-1]
+	return min(sort.SearchFloat64s(f.share, x), len(f.all)-1)
+}
+
 // run has requests come to the sidecars at random, so many a second in all.
 func (f *party) run(length time.Duration, rate float64) {
 	end, tick := f.now+length, f.now
@@ -73,11 +100,15 @@
 		for len(f.out) > 0 && f.out[0].at <= f.now {
 			d := f.out[0]
 			f.out = f.out[1:]
-			f.all[d.by].Result(d.at, Result{ID: d.s.id, Endpoint: d.s.to, Took: fleetAnswers, Finished: true})
+			result := Result{ID: d.s.id, Attempt: d.s.attempt, Endpoint: d.s.to, Took: fleetAnswers, Finished: true}
+			if f.rng.Float64() < f.full[d.s.to] {
+				result.Outcome, result.Finished = Saturated, false
+			}
+			f.all[d.by].Result(d.at, result)
 			f.took(d.by)
 		}
 		f.next++
-		i := f.rng.IntN(len(f.all))
+		i := f.whose()
 		f.all[i].Request(f.now, Request{ID: f.next, Tenant: -1, Within: 3 * time.Second})
 		f.took(i)
 	}
@@ -145,3 +176,52 @@
 		}
 	}
 }
+
+// TestColdServersStandThirtySidecars steps thirty sidecars with uneven traffic, some of which are restarted again and again, beside an
+// endpoint that has started cold while all others turn away a part of what comes, in a burst: the sum of what all send in any window of the rule is
+// within what fells it, N + 2 x root N + 2, whatever multiple of its capacity the settings say.
+func TestColdServersStandThirtySidecars(t *testing.T) {
+	const sidecars, warm, each, burst, away = 30, 10, 40.0, 1.5, 0.3
+	for _, multiple := range []float64{1.25, 2, 4} {
+		set := settings()
+		set.ColdTime, set.StartCapacity, set.FallMultiple, set.FallTime = 8*time.Second, 0.3, multiple, 2*time.Second
+		var list []Endpoint
+		for i := range warm + 1 {
+			list = append(list, Endpoint{ID: fmt.Sprintf("e%02d", i), Zone: "x", Kind: "big", Size: 1})
+		}
+		f := newParty(t, set, sidecars, list[:warm])
+		sum := 0.0
+		for range sidecars {
+			sum += f.rng.ExpFloat64()
+			f.share = append(f.share, sum)
+		}
+		f.run(4*time.Second, each*warm)
+		cold, told := &list[warm], f.now
+		cold.Started = told
+		f.full = map[string]float64{}
+		for _, e := range list[:warm] {
+			f.full[e.ID] = away
+		}
+		f.tell(ListChanges, list[warm:])
+		for range 20 {
+			f.run(200*time.Millisecond, each*warm*burst)
+			for range 3 {
+				f.restart(t, f.rng.IntN(sidecars), set, list)
+			}
+		}
+		sends := f.sends[cold.ID]
+		if len(sends) < 40 {
+			t.Errorf("multiple %v: only %d requests to the cold endpoint", multiple, len(sends))
+		}
+		for i, at := range sends {
+			behind := sends[i:]
+			window := sort.Search(len(behind), func(n int) bool { return behind[n] > at+set.FallTime })
+			capacity := set.StartCapacity + (1-set.StartCapacity)*(at-told).Seconds()/set.ColdTime.Seconds()
+			n := multiple * capacity * each * set.FallTime.Seconds()
+			if most := n + 2*math.Sqrt(n) + 2; float64(window) > most {
+				t.Errorf("multiple %v: %d requests within %v from %v on, %.0f fell it", multiple, window, set.FallTime, at-told, most)
+				break
+			}
+		}
+	}
+}
--- a/balance/health.go
+++ b/balance/health.go
@@ -46,6 +46,7 @@
 	workStep      = 0.05    // weight of an answer in the mean time of its class
 	overBar       = 0.5     // bar of requests beyond an allowance, as a share of their class's
 	coldEarly     = 2.0     // shares that a cold endpoint gets at most
+	coldSafe      = 0.5     // and of what makes it fall, as others have bursts and repeats too
 	leastSubset   = 4       // endpoints of a group that a sidecar uses at least: some may fail
 	mostTries     = 1 << 12 // of a request, that timers can tell apart
 	mostClasses   = 256     // that may come and go by new settings
@@ -368,7 +369,8 @@
 // thought to do. Early turns are counted over the fleet: all sidecars together give some times its share.
 func (b *Balancer) coldRoom(e *endpoint, early bool) bool {
 	turn := (b.sends - e.last) * e.Size * e.warm
-	return e.warm >= 1 || turn*b.near[e.abroad] >= b.room || early && coldEarly*turn >= b.whole
+	return e.warm >= 1 || turn*b.near[e.abroad] >= b.room ||
+		early && min(coldEarly, b.set.FallMultiple*coldSafe)*turn >= b.whole
 }
 
 // drawTurns draws when started endpoints have their first turn: within the time in which each has one.
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -7,9 +7,10 @@
 
 // sending is one Send that a host was asked for.
 type sending struct {
-	id     RequestID
-	to     string
-	within time.Duration
+	id      RequestID
+	to      string
+	within  time.Duration
+	attempt int // of the request, from 0
 }
 
 // host records what a Balancer asks for.
@@ -20,13 +21,18 @@
 	advice     time.Duration // with the last refusal
 	failed     []RequestID
 	cancelled  int
+	attempts   map[RequestID]int
 	subscribed int
 	timers     []uint64
 	logs       []string
 }
 
 func (h *host) Send(id RequestID, endpoint string, within time.Duration) {
-	h.sent = append(h.sent, sending{id, endpoint, within})
+	if h.attempts == nil {
+		h.attempts = map[RequestID]int{}
+	}
+	h.sent = append(h.sent, sending{id, endpoint, within, h.attempts[id]})
+	h.attempts[id]++
 }
 func (h *host) Cancel(RequestID, int) { h.cancelled++ }
 func (h *host) Refuse(id RequestID, after time.Duration) {
