--- /dev/null
+++ b/internal/sidecar/crossings_test.go
@@ -0,0 +1,216 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestTimeToldAfterTheWait: the time that an attempt tells its server is what is left once its connection is up.
+func TestTimeToldAfterTheWait(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	u, late := to(t, b), newLateDial()
+	u.pool.dial = late.dial
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	go func() { u.attempt(ctx, sending{server: "s-0", message: get(), begins: whole}) }()
+	within(t, late.up, "connection")
+	const wait = 100 * time.Millisecond
+	time.Sleep(wait) // the connection takes so long
+	late.give <- struct{}{}
+	r := within(t, b.came, "request")
+	told, err := strconv.Atoi(r.Header.Get("X-Timeout-Ms"))
+	if err != nil || time.Duration(told)*time.Millisecond > patience-wait {
+		t.Errorf("the server is told %d ms, error %v, where %v less than %v are left", told, err, wait, patience)
+	}
+}
+
+// TestResetIsNoEnd: an answer of untold length whose connection is reset is not whole, also where its first bytes were passed on. One
+// whose connection ends in order is.
+func TestResetIsNoEnd(t *testing.T) {
+	for _, reset := range []bool{true, false} {
+		passed := make(chan struct{})
+		b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal")
+			<-passed
+			return reset && hangUp(c, r, body)
+		})
+		p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+		resp, err := p.client.Do(p.request(context.Background(), "pay", "50000"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		close(passed) // the client has its head, and so the first bytes
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if reset != (err != nil) || !reset && string(body) != "hal" {
+			t.Errorf("reset %v: body %q, error %v", reset, body, err)
+		}
+	}
+}
+
+// TestStopWhileABodyComes has the process told to stop while a request's body comes: it is served, and its answer ends the connection.
+func TestStopWhileABodyComes(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	c := p.dial()
+	fmt.Fprintf(c, "%sContent-Length: 8\r\n\r\nhalf", head("POST", "slow", "pay"))
+	p.inUse(1)
+	p.stop()
+	p.deaf()
+	fmt.Fprint(c, "rest")
+	lastAnswer(t, c, http.StatusOK)
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	p.ended <- nil // for the cleanup
+}
+
+// inUse waits until n connections have brought a request.
+func (p *program) inUse(n int) {
+	p.t.Helper()
+	conns := p.staff.server.Load().conns
+	used := func() int {
+		conns.mu.Lock()
+		defer conns.mu.Unlock()
+		return conns.used
+	}
+	for end := time.Now().Add(patience); used() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("not %d connections in use", n)
+		}
+	}
+}
+
+// TestStopWhileAnAnswerPasses has the process told to stop, and to read its file again, while a long answer is passed on: it ends with
+// the answer, which is whole.
+func TestStopWhileAnAnswerPasses(t *testing.T) {
+	rest := make(chan struct{})
+	b := startBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nx", mostBody+1)
+		<-rest
+		fmt.Fprint(c, strings.Repeat("x", mostBody))
+		return true
+	})
+	text := configText(startRegistry(t).address, serving(1, b), testSettings)
+	p := start(t, text)
+	resp, err := p.client.Do(p.request(context.Background(), "pay", "50000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	p.stop()
+	p.deaf()
+	p.hangup(text)
+	p.hangup("no configuration")
+	close(rest)
+	if body, err := io.ReadAll(resp.Body); err != nil || len(body) != mostBody+1 {
+		t.Errorf("%d bytes, error %v", len(body), err)
+	}
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	p.ended <- nil // for the cleanup
+}
+
+// TestClosedUnderTheRequest has a server close an idle connection while a request is written on it. The request may have run: one that is
+// unsafe to repeat is not made anew, and one that may be repeated is.
+func TestClosedUnderTheRequest(t *testing.T) {
+	for _, tt := range []struct {
+		class  string
+		status int
+	}{{"pay", http.StatusBadGateway}, {"read", http.StatusOK}, {"book", http.StatusOK}} {
+		t.Run(tt.class, func(t *testing.T) {
+			answered, closing := 0, make(chan struct{}, 1)
+			b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+				if answered++; answered == 1 {
+					return say(200, "", "first")(c, r, body)
+				}
+				closing <- struct{}{}
+				return hangUp(c, r, body)
+			})
+			other := startBackend(t, say(200, "", "other"))
+			d := startRegistry(t)
+			p := start(t, configText(d.address, serving(1, b), testSettings))
+			p.staff.host.upstream.pool.settles = 0
+			if g := p.ask("read"); g.body != "first" {
+				t.Fatalf("answer %+v", g)
+			}
+			w := within(t, d.watches, "watch")
+			g := make(chan gotten, 1)
+			w.lines <- listText(2, false, entry("s-1", other.address, "SERVING", 0))
+			p.listed(2)
+			for b.count() > 0 {
+				<-b.came
+			}
+			for range 2 { // even turns: one of two goes to the server that closes
+				go func() { g <- p.do(p.request(context.Background(), tt.class, "50000")) }()
+				answer := within(t, g, "answer")
+				if len(closing) == 0 {
+					continue
+				}
+				if answer.status != tt.status {
+					t.Errorf("answer %+v, want status %d", answer, tt.status)
+				}
+				break
+			}
+			if len(closing) != 1 {
+				t.Errorf("%d requests met the close, want one", len(closing))
+			}
+		})
+	}
+}
+
+// listed waits until the program knows n servers.
+func (p *program) listed(n int) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); len(p.staff.host.upstream.list()) != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("not %d servers listed", n)
+		}
+	}
+}
+
+// TestReadyWhileDiscoveryIsDown: a process that knows a list is ready at once, though discovery says nothing; it serves by that list,
+// and has nobody wait for a server that is gone.
+func TestReadyWhileDiscoveryIsDown(t *testing.T) {
+	gone := listen(t)
+	address := gone.Addr().String()
+	gone.Close()
+	b := startBackend(t, say(200, "", "ok"))
+	silent := listen(t) // takes calls, and answers none
+	p := start(t, configText(silent.Addr().String(), serving(1, b, &backend{address: address}), testSettings))
+	resp, err := p.client.Get("http://" + p.address + "/healthz")
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("answer %+v, error %v, want ready", resp, err)
+	}
+	resp.Body.Close()
+	for range 4 {
+		if g := p.ask("pay"); g.body != "ok" {
+			t.Errorf("answer %+v by an old list", g)
+		}
+	}
+}
+
+// TestStopBeforeReady has the process told to stop before it knows a server: it ends at once.
+func TestStopBeforeReady(t *testing.T) {
+	p := start(t, configText(listen(t).Addr().String(), "", testSettings))
+	c := p.dial()
+	p.accepted(1)
+	p.stop()
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	p.ended <- nil // for the cleanup
+	if _, err := bufio.NewReader(c).ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("error %v on a connection without a request, want its end", err)
+	}
+}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -189,8 +189,8 @@
 	<-ended
 }
 
-// followed runs play in a bubble, with an agent and the times at which a host that follows it gets a list.
-func followed(t *testing.T, play func(t *testing.T, a *agent, told chan time.Time)) {
+// followed runs play in a bubble, with an agent, a host that follows it, and the times at which that gets a list.
+func followed(t *testing.T, play func(t *testing.T, a *agent, h *host, told chan time.Time)) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &agent{}
 		c, err := load(t, configText("127.0.0.1:9", serving(1, &backend{address: "127.0.0.1:9"}), testSettings))
@@ -206,7 +206,7 @@
 		h.listed = func([]Server) { told <- time.Now() }
 		var over sync.WaitGroup
 		over.Go(func() { h.run(ctx) })
-		play(t, a, told)
+		play(t, a, h, told)
 		cancel()
 		over.Wait()
 	})
@@ -220,7 +220,7 @@
 	}
 	for inVain := range 2 {
 		for phase := time.Millisecond; phase < 2*time.Second; phase += 130 * time.Millisecond {
-			followed(t, func(t *testing.T, a *agent, told chan time.Time) {
+			followed(t, func(t *testing.T, a *agent, _ *host, told chan time.Time) {
 				<-told // the first list
 				time.Sleep(20*time.Second + phase)
 				a.hush(false, inVain)
@@ -233,7 +233,7 @@
 	}
 	const longest = firstListWithin + balance.LongestReask // a call begun just before the return, and the wait behind it
 	for outage := 100 * time.Millisecond; outage < 30*time.Second; outage += 370 * time.Millisecond {
-		followed(t, func(t *testing.T, a *agent, told chan time.Time) {
+		followed(t, func(t *testing.T, a *agent, _ *host, told chan time.Time) {
 			<-told
 			time.Sleep(10*time.Second + time.Millisecond)
 			a.hush(true, 0)
@@ -250,6 +250,23 @@
 	}
 }
 
+// TestMoveToASilentAddress has a file name another address of discovery, whose first calls get no answer: the list is there less than 4 s
+// after it was read.
+func TestMoveToASilentAddress(t *testing.T) {
+	for inVain := range 3 {
+		followed(t, func(t *testing.T, a *agent, h *host, told chan time.Time) {
+			<-told
+			time.Sleep(10 * time.Second)
+			a.hush(false, inVain) // the former address says nothing more
+			moved := time.Now()
+			h.post(func() { h.moveTo("127.0.0.1:8") })
+			if took := (<-told).Sub(moved); took >= 4*time.Second {
+				t.Errorf("told %v after the move, %d calls in vain", took, inVain)
+			}
+		})
+	}
+}
+
 // spoken is a connection on which discovery says these pieces, one every pause, and then nothing more.
 func spoken(pause time.Duration, pieces ...string) dialFunc {
 	return func(context.Context, string, string) (net.Conn, error) {
