--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -261,6 +262,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	times.deadline = cmp.Or(times.deadline, patience) // no verdict hangs on how soon a request in hand has to be given up
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &program{t: t, stop: cancel, file: c.Getenv("PROXY_CONFIG"), hup: make(chan os.Signal, 1), ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
 	log := addressLog{slog.DiscardHandler, make(chan string, 1), &p.overdue}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -26,6 +26,7 @@
 	unused    time.Duration // a connection that never had a request is left to bring one
 	listen    time.Duration // the list may take, beside another process
 	idle      time.Duration // and clients' connections that idle are left to end by themselves
+	deadline  time.Duration // the most that a deadline counts for in the time until the process may be killed
 }
 
 // Run is the sidecar, from its configuration to the end of its last request after stop is done. At each reload it
@@ -33,7 +34,7 @@
 func Run(stop context.Context, reload <-chan os.Signal, c *Config, log *slog.Logger, join Join) error {
 	return run(stop, reload, c, log, join, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
 		closeIdle: 300 * time.Millisecond, unused: 300 * time.Millisecond, listen: time.Second,
-		idle: idleWithin + 200*time.Millisecond}, func(*ops) {})
+		idle: idleWithin + 200*time.Millisecond, deadline: killDeadline}, func(*ops) {})
 }
 
 // run hands what the staff asks to started once it listens.
@@ -151,7 +152,7 @@
 	// goes on accepting and serving first, and only asks clients to close.
 	succeeded := staff.family.successor()
 	log.Info("draining", "succeeded", succeeded)
-	s.drain()
+	s.drain(times.deadline)
 	if err := staff.family.member.Update(func(s *handover.State) { s.Phase = handover.Draining }); err != nil {
 		log.Warn("the next process does not know that this one drains", "err", err)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -61,8 +61,8 @@
 )
 
 // drain has answers end their connections from now on, and requests be answered before this process may be killed.
-func (s *server) drain() {
-	ends := time.Now().Add(min(s.longestDeadline(), killDeadline) + killAfter - killMargin)
+func (s *server) drain(mostDeadline time.Duration) {
+	ends := time.Now().Add(min(s.longestDeadline(), mostDeadline) + killAfter - killMargin)
 	s.ends.Store(ends.UnixNano())
 	s.draining.Store(true)
 	s.host.post(func() { s.host.endBy(ends) })
