Leave an answer to its handler where its client is seen to leave at the same moment

Where another attempt's answer came in between, abandoning took that answer away, and the handler, whose connection net/http does not know to be closed yet, would have waited for ever. A server taken out by hand also lost its mark that it drains.

Change: the request is abandoned only if it has no answer by then; the mark is kept.

--- a/internal/sidecar/attempts_test.go
+++ b/internal/sidecar/attempts_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -197,3 +199,41 @@
 		}
 	}
 }
+
+// TestAnswerBesideALeavingClient has a request get its answer between the moment that its client is seen to leave and the moment that the
+// host hears of it: the answer is there for its handler, which would wait for ever without it.
+func TestAnswerBesideALeavingClient(t *testing.T) {
+	c, err := load(t, configText("127.0.0.1:9", serving(1, &backend{address: "127.0.0.1:9"}), testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h, err := newHost(ctx, c, slog.New(slog.DiscardHandler), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var loop sync.WaitGroup
+	loop.Add(1)
+	go func() {
+		defer loop.Done()
+		h.run(ctx)
+	}()
+	defer loop.Wait()
+	defer cancel()
+	request := &call{answered: make(chan answer, 1)}
+	request.left = func() bool {
+		if err := h.ask(ctx, func() { h.answer(request, answer{kind: refused}) }); err != nil {
+			t.Error(err)
+		}
+		return true
+	}
+	if !h.withdrawn(request) {
+		t.Error("a request whose client has left is not withdrawn")
+	}
+	if err := h.ask(ctx, func() {}); err != nil { // what was posted before is done
+		t.Fatal(err)
+	}
+	if len(request.answered) != 1 {
+		t.Error("its handler has no answer to take")
+	}
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -206,7 +206,12 @@
 	}
 	gone := c.gone()
 	if gone {
-		h.post(func() { h.abandon(c, false) })
+		h.post(func() {
+			// The request may have got its answer meanwhile, which its handler is about to take.
+			if !c.over.Load() {
+				h.abandon(c, false)
+			}
+		})
 	}
 	return gone
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -86,7 +86,9 @@
 	}
 	if t := u.targets[id]; t != nil && out {
 		u.drop(id)
-		u.targets[id] = &target{address: t.address, boot: t.boot}
+		fresh := &target{address: t.address, boot: t.boot}
+		fresh.draining.Store(t.draining.Load())
+		u.targets[id] = fresh
 	}
 }
 
