Rename rival to baseline in the lab

Need: `rival` was a word of our own for the policies that the decision module is compared with; the field says baseline.

Change: package internal/lab/rival is internal/lab/baseline, its names and comments follow, TestRivals is TestBaselines.

--- a/internal/lab/rival/rival.go
+++ b/internal/lab/baseline/baseline.go
@@ -1,7 +1,7 @@
-// Package rival has other ways to choose a node, to compare the decision module with: what a user would get from a plain
+// Package baseline has other ways to choose a node, to compare the decision module with: what a user would get from a plain
 // load balancer. They keep the same rules on repeats and drains, retry up to two times, and refuse nothing of themselves.
 // They exist in the simulated plane alone.
-package rival
+package baseline
 
 import (
 	"fmt"
@@ -15,10 +15,10 @@
 	"milletramp.example/milletramp/internal/lab/sim"
 )
 
-// Names are the rivals.
+// Names are the baseline policies.
 var Names = []string{"random", "round-robin", "least-requests", "two-choices", "oracle"}
 
-// New returns the maker of a policy: a rival, or the decision module itself as "module".
+// New returns the maker of a policy: a baseline policy, or the decision module itself as "module".
 func New(name string) (sim.Maker, error) {
 	if name == "module" || name == "" {
 		return sim.Module, nil
@@ -27,14 +27,14 @@
 		return nil, fmt.Errorf("unknown policy %q, known are module, %s", name, strings.Join(Names, ", "))
 	}
 	return func(set balance.Settings, act balance.Actions, view sim.View) (sim.Decider, error) {
-		return &rival{name: name, set: set, act: act, view: view, rng: rand.New(rand.NewPCG(set.Seed, 0x217a1)),
+		return &baseline{name: name, set: set, act: act, view: view, rng: rand.New(rand.NewPCG(set.Seed, 0x217a1)),
 			requests: map[balance.RequestID]*request{}, out: map[string]int{}}, nil
 	}, nil
 }
 
 const mostAttempts = 3
 
-type rival struct {
+type baseline struct {
 	name     string
 	set      balance.Settings
 	act      balance.Actions
@@ -63,13 +63,13 @@
 }
 
 // Request implements sim.Decider, as do the methods after it.
-func (b *rival) Request(now balance.Time, r balance.Request) {
+func (b *baseline) Request(now balance.Time, r balance.Request) {
 	q := &request{Request: r, deadline: now + r.Within}
 	b.requests[r.ID] = q
 	b.try(now, q)
 }
 
-func (b *rival) try(now balance.Time, q *request) {
+func (b *baseline) try(now balance.Time, q *request) {
 	var may []balance.Endpoint
 	if len(q.attempts) < mostAttempts && now < q.deadline {
 		for _, e := range b.ready {
@@ -90,7 +90,7 @@
 }
 
 // choose picks one of the nodes that the request may go to.
-func (b *rival) choose(q *request, may []balance.Endpoint) int {
+func (b *baseline) choose(q *request, may []balance.Endpoint) int {
 	least := func(cost func(e balance.Endpoint) float64) int {
 		best, lowest := 0, math.Inf(1)
 		from := b.rng.IntN(len(may)) // ties go to anyone
@@ -123,7 +123,7 @@
 	return b.rng.IntN(len(may))
 }
 
-func (b *rival) mayGo(now balance.Time, q *request, e balance.Endpoint) bool {
+func (b *baseline) mayGo(now balance.Time, q *request, e balance.Endpoint) bool {
 	c := b.set.Classes[q.Class]
 	for _, a := range q.attempts {
 		switch {
@@ -138,7 +138,7 @@
 	return true
 }
 
-func (b *rival) finish(q *request) {
+func (b *baseline) finish(q *request) {
 	c := b.set.Classes[q.Class]
 	if c.Effect == balance.Idempotent || c.Effect == balance.Deduplicated && c.Scope == balance.ScopeAll ||
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return !a.done || a.mayRun }) {
@@ -149,7 +149,7 @@
 	b.end(q)
 }
 
-func (b *rival) end(q *request) {
+func (b *baseline) end(q *request) {
 	for i := range q.attempts {
 		if !q.attempts[i].done && !q.over {
 			b.act.Cancel(q.ID, i)
@@ -161,7 +161,7 @@
 }
 
 // Result takes in how an attempt ended.
-func (b *rival) Result(now balance.Time, r balance.Result) {
+func (b *baseline) Result(now balance.Time, r balance.Result) {
 	q := b.requests[r.ID]
 	if q == nil || q.attempts[r.Attempt].done {
 		return
@@ -180,14 +180,14 @@
 }
 
 // ClientGone takes in that the client has left.
-func (b *rival) ClientGone(_ balance.Time, id balance.RequestID) {
+func (b *baseline) ClientGone(_ balance.Time, id balance.RequestID) {
 	if q := b.requests[id]; q != nil && !q.over {
 		b.end(q)
 	}
 }
 
 // Endpoints takes in discovery's news.
-func (b *rival) Endpoints(_ balance.Time, kind balance.ListKind, list []balance.Endpoint) {
+func (b *baseline) Endpoints(_ balance.Time, kind balance.ListKind, list []balance.Endpoint) {
 	if kind == balance.ListRefused {
 		return
 	}
@@ -210,5 +210,5 @@
 	}
 }
 
-// Timer does nothing: no rival asks for one.
-func (b *rival) Timer(balance.Time, uint64) {}
+// Timer does nothing: no baseline policy asks for one.
+func (b *baseline) Timer(balance.Time, uint64) {}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -15,10 +15,10 @@
 
 	"milletramp.example/milletramp/balance"
 	"milletramp.example/milletramp/internal/lab/aside"
+	"milletramp.example/milletramp/internal/lab/baseline"
 	"milletramp.example/milletramp/internal/lab/record"
 	"milletramp.example/milletramp/internal/lab/referee"
 	"milletramp.example/milletramp/internal/lab/report"
-	"milletramp.example/milletramp/internal/lab/rival"
 	"milletramp.example/milletramp/internal/lab/scenario"
 	"milletramp.example/milletramp/internal/lab/sim"
 )
@@ -253,7 +253,7 @@
 	if aside.Raced {
 		t.Skip("one goroutine: played without the race detector")
 	}
-	random, err := rival.New("random")
+	random, err := baseline.New("random")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -284,15 +284,15 @@
 	}
 }
 
-// TestRivals holds the rivals against each other where the order is known: an idle fleet with a slow part.
-func TestRivals(t *testing.T) {
+// TestBaselines holds the baseline policies against each other where the order is known: an idle fleet with a slow part.
+func TestBaselines(t *testing.T) {
 	if aside.Raced {
 		t.Skip("one goroutine: played without the race detector")
 	}
 	s := load(t, "slow-fifth")
 	worth := map[string]float64{}
-	for _, name := range append([]string{"module"}, rival.Names...) {
-		make, err := rival.New(name)
+	for _, name := range append([]string{"module"}, baseline.Names...) {
+		make, err := baseline.New(name)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -305,7 +305,7 @@
 	if !(worth["oracle"] > worth["two-choices"] && worth["two-choices"] > worth["random"] && worth["module"] > worth["random"]) {
 		t.Errorf("worth in time is in no sensible order: %v", worth)
 	}
-	if _, err := rival.New("magic"); err == nil {
+	if _, err := baseline.New("magic"); err == nil {
 		t.Error("an unknown policy passes")
 	}
 }
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -18,7 +18,7 @@
 type Player struct {
 	Sockets  bool     // on loopback with real sidecars, else in simulated time
 	Sidecar  []string // the command of one, for the socket plane
-	Policy   string   // of the simulated plane: "module" or a rival
+	Policy   string   // of the simulated plane: "module" or a baseline policy
 	Log      io.Writer
 	Progress func(at, of time.Duration) // may be nil
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -19,7 +19,7 @@
 	"milletramp.example/milletramp/internal/lab/record"
 )
 
-// Decider is what decides for one sidecar: the decision module, or a rival.
+// Decider is what decides for one sidecar: the decision module, or a baseline policy.
 type Decider interface {
 	Request(now balance.Time, r balance.Request)
 	Result(now balance.Time, r balance.Result)
@@ -28,7 +28,7 @@
 	Timer(now balance.Time, token uint64)
 }
 
-// View is the true state of the world, for rivals that cheat.
+// View is the true state of the world, for baseline policies that cheat.
 type View interface {
 	// Wait is how long a request of some work would take at a node now, in seconds, infinite where it cannot be served.
 	Wait(sidecar int, endpoint string, class int, work float64) float64
--- a/internal/lab/variants.go
+++ b/internal/lab/variants.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"milletramp.example/milletramp/internal/lab/rival"
+	"milletramp.example/milletramp/internal/lab/baseline"
 	"milletramp.example/milletramp/internal/lab/scenario"
 	"milletramp.example/milletramp/internal/lab/sim"
 )
@@ -38,7 +38,7 @@
 	if f, ok := fleets[policy]; ok {
 		return sim.Options{Fleet: f(s)}, nil
 	}
-	maker, err := rival.New(policy)
+	maker, err := baseline.New(policy)
 	if err != nil && strings.HasPrefix(policy, "fleet") {
 		err = fmt.Errorf("unknown policy %q: of a fleet there are fleet, fleet-lossy, fleet-cut, fleet-ones, fleet-liar, fleet-liars", policy)
 	}
