Rename chamber to policyagent

Need: `chamber` was a word of our own for what follows the fleet's policy and holds a lease to serve; the field calls that an agent.

--- a/cmd/milletramp/policy.go
+++ b/cmd/milletramp/policy.go
@@ -19,7 +19,7 @@
 	"text/tabwriter"
 	"time"
 
-	"milletramp.example/milletramp/internal/fleet/chamber"
+	"milletramp.example/milletramp/internal/fleet/policyagent"
 	"milletramp.example/milletramp/internal/member"
 	"milletramp.example/milletramp/internal/sidecar"
 )
@@ -119,7 +119,7 @@
 }
 
 // status asks for it.
-func (a asking) status(ctx context.Context) (s chamber.Status, err error) {
+func (a asking) status(ctx context.Context) (s policyagent.Status, err error) {
 	return s, policyCall(ctx, a.Console, http.MethodGet, "/ops/policy/status", nil, &s)
 }
 
@@ -345,7 +345,7 @@
 	if len(s.Deciders) == 0 {
 		return fmt.Errorf("%s: no decider answers", c.Console)
 	}
-	d := slices.MaxFunc(s.Deciders, func(a, b chamber.State) int { return cmp.Compare(len(a.Outcomes), len(b.Outcomes)) })
+	d := slices.MaxFunc(s.Deciders, func(a, b policyagent.State) int { return cmp.Compare(len(a.Outcomes), len(b.Outcomes)) })
 	var b strings.Builder
 	table := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "number\tid\tauthor\tstate\treason")
--- a/deploy/policy_test.go
+++ b/deploy/policy_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"milletramp.example/milletramp/internal/fleet/chamber"
+	"milletramp.example/milletramp/internal/fleet/policyagent"
 	"milletramp.example/milletramp/internal/lab/aside"
 	"milletramp.example/milletramp/internal/member"
 )
@@ -319,8 +319,8 @@
 		t.Helper()
 		at.await(func() bool {
 			_, text := at.ask("GET", "/ops/policy/status", "")
-			var s chamber.Status
-			return json.Unmarshal([]byte(text), &s) == nil && slices.ContainsFunc(s.Deciders, func(d chamber.State) bool {
+			var s policyagent.Status
+			return json.Unmarshal([]byte(text), &s) == nil && slices.ContainsFunc(s.Deciders, func(d policyagent.State) bool {
 				return d.Leader == d.Decider && slices.Contains(d.Candidates, name)
 			})
 		})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,11 +17,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"milletramp.example/milletramp/internal/fleet/chamber"
 	"milletramp.example/milletramp/internal/fleet/evidence"
 	"milletramp.example/milletramp/internal/fleet/gossip"
 	"milletramp.example/milletramp/internal/fleet/link"
 	"milletramp.example/milletramp/internal/fleet/membership"
+	"milletramp.example/milletramp/internal/fleet/policyagent"
 	"milletramp.example/milletramp/internal/fleet/replication"
 )
 
@@ -42,9 +42,9 @@
 	over    sync.WaitGroup
 	ctx     context.Context
 	stop    context.CancelFunc
-	chamber *chamber.Chamber // nil: the fleet has no policy
-	address string           // that the others are told
-	ready   chan struct{}    // closed once it has caught up for the first time
+	agent   *policyagent.Agent // nil: the fleet has no policy
+	address string             // that the others are told
+	ready   chan struct{}      // closed once it has caught up for the first time
 
 	// Of the loop.
 	machine *gossip.Machine
@@ -130,28 +130,28 @@
 		f.run()
 	}()
 	if c.Policy != nil {
-		if f.chamber, err = chamber.Start(c.chamber(name, uint64(max(now.Wall, 1)), told.Check), f, log); err != nil {
+		if f.agent, err = policyagent.Start(c.agentSettings(name, uint64(max(now.Wall, 1)), told.Check), f, log); err != nil {
 			f.stop()
 			f.over.Wait()
 			return nil, errors.Join(err, l.Close())
 		}
-		l.Answer(f.chamber)
+		l.Answer(f.agent)
 	}
 	l.Serve(f, gossip.MostPacket)
 	return f, nil
 }
 
-// chamber is what this sidecar's part in the policy is told.
-func (c *Config) chamber(name string, life uint64, check func(uint64, []byte) string) chamber.Settings {
+// agentSettings is what this sidecar's part in the policy is told.
+func (c *Config) agentSettings(name string, life uint64, check func(uint64, []byte) string) policyagent.Settings {
 	p := c.Policy
-	return chamber.Settings{Name: name, Life: life, Deciders: p.Deciders, First: p.text, Terms: p.Terms(), ServeOn: p.ServeOn, Check: check,
+	return policyagent.Settings{Name: name, Life: life, Deciders: p.Deciders, First: p.text, Terms: p.Terms(), ServeOn: p.ServeOn, Check: check,
 		Folder: filepath.Join(p.Folder, fmt.Sprintf("council-%016x", xxhash.Sum64String(name)))}
 }
 
 // Policy is this sidecar's part in the fleet's policy; nil: the file names no deciders.
-func (f *Fleet) Policy() *chamber.Chamber { return f.chamber }
+func (f *Fleet) Policy() *policyagent.Agent { return f.agent }
 
-// Call implements chamber.Peers.
+// Call implements policyagent.Peers.
 func (f *Fleet) Call(ctx context.Context, name string, text []byte) ([]byte, error) {
 	address := ""
 	if err := f.ask(ctx, func(replication.Now) {
@@ -527,8 +527,8 @@
 
 // Close says farewell and waits for all that was begun.
 func (f *Fleet) Close() error {
-	if f.chamber != nil {
-		f.chamber.Close()
+	if f.agent != nil {
+		f.agent.Close()
 	}
 	f.stop()
 	f.over.Wait()
--- a/internal/fleet/chamber/chamber.go
+++ b/internal/fleet/policyagent/agent.go
@@ -1,7 +1,7 @@
-// Package chamber gives a sidecar its part in the fleet's policy: it asks the deciders under which policy it may take requests
+// Package policyagent gives a sidecar its part in the fleet's policy: it asks the deciders under which policy it may take requests
 // (policy.Holder), has documents checked by the code that would run them, and where this sidecar is a decider keeps its seat (package
 // seat). It decides nothing: it moves messages and reads the clock.
-package chamber
+package policyagent
 
 import (
 	"context"
@@ -40,7 +40,7 @@
 	Call(ctx context.Context, name string, text []byte) ([]byte, error)
 }
 
-// Settings say what a Chamber is to do.
+// Settings say what a Agent is to do.
 type Settings struct {
 	Name     string
 	Life     uint64 // of this process: higher than any before it under the name
@@ -55,8 +55,8 @@
 	Check func(number uint64, text []byte) (fault string)
 }
 
-// Chamber is a sidecar's part.
-type Chamber struct {
+// Agent is a sidecar's part.
+type Agent struct {
 	set     Settings
 	peers   Peers
 	log     *slog.Logger
@@ -86,7 +86,7 @@
 }
 
 // Start begins a sidecar's part.
-func Start(set Settings, peers Peers, log *slog.Logger) (*Chamber, error) {
+func Start(set Settings, peers Peers, log *slog.Logger) (*Agent, error) {
 	if err := set.Terms.Check(); err != nil {
 		return nil, fmt.Errorf("policy: %w", err)
 	}
@@ -100,7 +100,7 @@
 	if fault := set.Check(1, set.First); fault != "" {
 		return nil, fmt.Errorf("policy: the first one: %s", fault)
 	}
-	c := &Chamber{set: set, peers: peers, decides: decides, names: set.Deciders, count: len(set.Deciders), log: log.With("part", "policy"), origin: time.Now(), waiting: map[uint64]chan council.Answer{},
+	c := &Agent{set: set, peers: peers, decides: decides, names: set.Deciders, count: len(set.Deciders), log: log.With("part", "policy"), origin: time.Now(), waiting: map[uint64]chan council.Answer{},
 		holder: policy.NewHolder(set.Name, set.Life, set.Terms), events: make(chan func(seat.Time), mostEvents), queues: map[string]chan []byte{}}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	if decides {
@@ -119,17 +119,17 @@
 }
 
 // Close ends the part and waits for all that was begun.
-func (c *Chamber) Close() {
+func (c *Agent) Close() {
 	c.stop()
 	c.over.Wait()
 }
 
 // now reads the monotonic clock. Danger: a clock of day that is set would end promises late.
-func (c *Chamber) now() time.Duration { return monotonic + time.Since(c.origin) }
+func (c *Agent) now() time.Duration { return monotonic + time.Since(c.origin) }
 
 // Serves tells under which policy a request may be taken now; wait is how long it would have to wait for the next one, where that is
 // known. Danger: it is to be called for each request, after whatever may have stopped the process: it reads the clock itself.
-func (c *Chamber) Serves() (number uint64, wait time.Duration, ok bool) {
+func (c *Agent) Serves() (number uint64, wait time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	number, wait, ok = c.holder.Serves(c.now())
@@ -199,7 +199,7 @@
 var errBusy = errors.New("policy: this decider is busy")
 
 // Call implements link.Called.
-func (c *Chamber) Call(ctx context.Context, text []byte) ([]byte, error) {
+func (c *Agent) Call(ctx context.Context, text []byte) ([]byte, error) {
 	var m message
 	if err := cbor.Unmarshal(text, &m); err != nil {
 		return nil, fmt.Errorf("policy: a call that cannot be read: %w", err)
@@ -207,7 +207,7 @@
 	return cbor.Marshal(c.answer(ctx, m))
 }
 
-func (c *Chamber) answer(ctx context.Context, m message) (r reply) {
+func (c *Agent) answer(ctx context.Context, m message) (r reply) {
 	if !c.decides {
 		return reply{Fault: c.set.Name + " is no decider"}
 	}
@@ -288,7 +288,7 @@
 	return r
 }
 
-func (c *Chamber) state(now seat.Time, l *policy.Ledger) *State {
+func (c *Agent) state(now seat.Time, l *policy.Ledger) *State {
 	s := &State{Decider: c.set.Name, Leader: c.seat.Leader(), Founded: l != nil, Candidates: c.seat.Waits(now), LeftOut: c.seat.LeftOut()}
 	s.Deciders, s.Settled = c.seat.Deciders()
 	if err := c.seat.Err(); err != nil {
@@ -309,7 +309,7 @@
 }
 
 // sit is the seat's goroutine.
-func (c *Chamber) sit() {
+func (c *Agent) sit() {
 	c.open()
 	if c.seat == nil {
 		return
@@ -352,7 +352,7 @@
 const mostQueues = 64
 
 // queue is the way to another decider. It is made when it is first used: one that takes the place of another is in no file.
-func (c *Chamber) queue(name string) chan<- []byte {
+func (c *Agent) queue(name string) chan<- []byte {
 	queue := c.queues[name]
 	if queue == nil && len(c.queues) < mostQueues {
 		queue = make(chan []byte, mostQueued)
@@ -368,7 +368,7 @@
 
 // open opens the folder, once no other process has it, and takes the seat. Whatever else is wrong with it, this sidecar decides
 // nothing, and serves as any other.
-func (c *Chamber) open() {
+func (c *Agent) open() {
 	for said := false; ; {
 		folder, dropped, err := disk.Open(c.set.Folder, rand.Uint64()|1)
 		if err == nil {
@@ -401,7 +401,7 @@
 }
 
 // carry sends what is for one decider, one message at a time.
-func (c *Chamber) carry(to string, queue <-chan []byte) {
+func (c *Agent) carry(to string, queue <-chan []byte) {
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -419,7 +419,7 @@
 }
 
 // call calls a decider, which may be this sidecar itself.
-func (c *Chamber) call(ctx context.Context, to string, m message) (r reply, err error) {
+func (c *Agent) call(ctx context.Context, to string, m message) (r reply, err error) {
 	if to == c.set.Name {
 		return c.answer(ctx, m), nil
 	}
@@ -437,7 +437,7 @@
 }
 
 // ask keeps up the promise under which this sidecar serves.
-func (c *Chamber) ask() {
+func (c *Agent) ask() {
 	for i := 0; ; i++ {
 		pause := c.asked(c.whom(i))
 		select {
@@ -449,7 +449,7 @@
 }
 
 // whom is the decider to ask: who led last, or another one each time.
-func (c *Chamber) whom(i int) string {
+func (c *Agent) whom(i int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
@@ -459,7 +459,7 @@
 }
 
 // known are the deciders as far as this sidecar knows.
-func (c *Chamber) known() []string {
+func (c *Agent) known() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.names[:c.count]
@@ -467,7 +467,7 @@
 
 // decide takes in who decides, by the word of one that a majority follows. Those of the own file stay behind them: where all of these are
 // gone, one of those may know better.
-func (c *Chamber) decide(names []string) {
+func (c *Agent) decide(names []string) {
 	if len(names) == 0 || len(names) > mostDeciders {
 		return
 	}
@@ -483,7 +483,7 @@
 }
 
 // lead notes who leads, as far as is known; "": nobody is known to.
-func (c *Chamber) lead(name string) {
+func (c *Agent) lead(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader = ""; len(name) <= largestName { // who is none answers so
@@ -492,7 +492,7 @@
 }
 
 // asked asks a decider once, and returns after what time to ask again.
-func (c *Chamber) asked(whom string) (pause time.Duration) {
+func (c *Agent) asked(whom string) (pause time.Duration) {
 	ctx, cancel := context.WithTimeout(c.ctx, askWithin)
 	defer cancel()
 	c.mu.Lock()
@@ -536,7 +536,7 @@
 const errUngot = "\x00"
 
 // check gets a document and has it checked.
-func (c *Chamber) check(whom string, number uint64) (fault string) {
+func (c *Agent) check(whom string, number uint64) (fault string) {
 	ctx, cancel := context.WithTimeout(c.ctx, seatWithin)
 	defer cancel()
 	r, err := c.call(ctx, whom, message{Get: number})
@@ -551,7 +551,7 @@
 
 // Propose asks for a change and waits until it has ended, or ctx has: then what is returned says how far it has come, and may be
 // asked for again by its id.
-func (c *Chamber) Propose(ctx context.Context, p policy.Propose) policy.Outcome {
+func (c *Agent) Propose(ctx context.Context, p policy.Propose) policy.Outcome {
 	if len(p.Author) > largestName {
 		p.Author = p.Author[:largestName]
 	}
@@ -584,7 +584,7 @@
 }
 
 // Outcome is what has become of a proposal, as far as any decider that answers knows.
-func (c *Chamber) Outcome(ctx context.Context, id string) (o policy.Outcome) {
+func (c *Agent) Outcome(ctx context.Context, id string) (o policy.Outcome) {
 	o.ID = id
 	for _, whom := range c.known() {
 		if r, err := c.call(ctx, whom, message{Outcome: id}); err == nil && r.Outcome != nil && r.Outcome.State > o.State {
@@ -595,7 +595,7 @@
 }
 
 // Document gets a document from any decider that has it; 0: the one in force.
-func (c *Chamber) Document(ctx context.Context, number uint64) (policy.Document, error) {
+func (c *Agent) Document(ctx context.Context, number uint64) (policy.Document, error) {
 	var faults []error
 	for _, whom := range c.known() {
 		n := number
@@ -618,7 +618,7 @@
 
 // Replace has one that waits for a place take that of a decider: of the same name, where it has lost its folder. It returns once the leader
 // has begun; Status shows when it is through.
-func (c *Chamber) Replace(ctx context.Context, out, in string) error {
+func (c *Agent) Replace(ctx context.Context, out, in string) error {
 	for i := 0; ; i++ {
 		whom := c.whom(i)
 		once, cancel := context.WithTimeout(ctx, askWithin)
@@ -651,7 +651,7 @@
 }
 
 // Status asks all deciders.
-func (c *Chamber) Status(ctx context.Context) (s Status) {
+func (c *Agent) Status(ctx context.Context) (s Status) {
 	number, _, ok := c.Serves()
 	c.mu.Lock()
 	s.Asks, s.Waived = c.leader, c.waived
--- a/internal/fleet/chamber/chamber_test.go
+++ b/internal/fleet/policyagent/agent_test.go
@@ -1,4 +1,4 @@
-package chamber
+package policyagent
 
 import (
 	"context"
@@ -36,7 +36,7 @@
 	terms policy.Terms
 
 	mu    sync.Mutex
-	rooms map[string]*Chamber
+	rooms map[string]*Agent
 	lives map[string]uint64
 	cut   map[string]bool // cut off from all others
 	loss  float64
@@ -71,7 +71,7 @@
 }
 
 func newHouse(t *testing.T, sidecars int) *house {
-	h := &house{t: t, dir: t.TempDir(), terms: short, rooms: map[string]*Chamber{}, lives: map[string]uint64{}, cut: map[string]bool{}, fault: map[string]string{},
+	h := &house{t: t, dir: t.TempDir(), terms: short, rooms: map[string]*Agent{}, lives: map[string]uint64{}, cut: map[string]bool{}, fault: map[string]string{},
 		begun: time.Now(), old: map[uint64]time.Duration{}, first: map[uint64]time.Duration{}, stop: make(chan struct{})}
 	for i := range sidecars {
 		h.start(fmt.Sprint("n", i), false)
@@ -119,7 +119,7 @@
 }
 
 // look notes under what a sidecar serves, as a request would find it.
-func (h *house) look(c *Chamber) {
+func (h *house) look(c *Agent) {
 	for {
 		select {
 		case <-h.stop:
@@ -153,7 +153,7 @@
 	}
 }
 
-func (h *house) room(name string) *Chamber {
+func (h *house) room(name string) *Agent {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.rooms[name]
@@ -321,13 +321,13 @@
 	h.apart()
 }
 
-var sizes = flag.String("chamber.sizes", "", "numbers of sidecars, by commas, that TestFigures times changes at")
+var sizes = flag.String("policyagent.sizes", "", "numbers of sidecars, by commas, that TestFigures times changes at")
 
 // TestFigures prints how long changes take, from proposing to in force, with the usual promise: all well, with one of ten sidecars
 // silent, and with a fifth of all calls lost.
 func TestFigures(t *testing.T) {
 	if *sizes == "" {
-		t.Skip("no sizes are named by -chamber.sizes")
+		t.Skip("no sizes are named by -policyagent.sizes")
 	}
 	for _, text := range strings.Split(*sizes, ",") {
 		n, err := strconv.Atoi(text)
--- a/internal/member/policy.go
+++ b/internal/member/policy.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"milletramp.example/milletramp/internal/fleet/chamber"
 	"milletramp.example/milletramp/internal/fleet/policy"
+	"milletramp.example/milletramp/internal/fleet/policyagent"
 )
 
 const (
@@ -20,13 +20,13 @@
 
 // calls implements sidecar.Policy: it answers the staff's calls on the policy.
 type calls struct {
-	*chamber.Chamber
+	*policyagent.Agent
 	mux   *http.ServeMux
 	large chan struct{} // has one while a proposal is read. Danger: many at once would take all memory
 }
 
-func newCalls(c *chamber.Chamber) *calls {
-	p := &calls{Chamber: c, mux: http.NewServeMux(), large: make(chan struct{}, 1)}
+func newCalls(c *policyagent.Agent) *calls {
+	p := &calls{Agent: c, mux: http.NewServeMux(), large: make(chan struct{}, 1)}
 	p.mux.HandleFunc("GET /ops/policy/status", p.status)
 	p.mux.HandleFunc("GET /ops/policy/document", p.document)
 	p.mux.HandleFunc("GET /ops/policy/outcome", p.outcome)
