Rename seat to raftnode

Need: `seat` was a word of our own for a decider's Raft node and what keeps it; the field calls that a node.

Change: package internal/fleet/seat is internal/fleet/raftnode, Seat is Node; the flag -seat.plays of its tests is -raftnode.plays; three mutants name the new path. Nothing else: messages are encoded by number, and no program in service imports it. go vet and the tests of policyagent and raftnode pass.

--- a/internal/fleet/policyagent/agent.go
+++ b/internal/fleet/policyagent/agent.go
@@ -1,6 +1,6 @@
 // Package policyagent gives a sidecar its part in the fleet's policy: it asks the deciders under which policy it may take requests
-// (policy.Holder), has documents checked by the code that would run them, and where this sidecar is a decider keeps its seat (package
-// seat). It decides nothing: it moves messages and reads the clock.
+// (policy.Holder), has documents checked by the code that would run them, and where this sidecar is a decider keeps its Raft node (package
+// Raft node). It decides nothing: it moves messages and reads the clock.
 package policyagent
 
 import (
@@ -18,7 +18,7 @@
 	"milletramp.example/milletramp/internal/fleet/council"
 	"milletramp.example/milletramp/internal/fleet/disk"
 	"milletramp.example/milletramp/internal/fleet/policy"
-	"milletramp.example/milletramp/internal/fleet/seat"
+	"milletramp.example/milletramp/internal/fleet/raftnode"
 )
 
 const (
@@ -26,8 +26,8 @@
 	leastPause   = 50 * time.Millisecond  // between two questions
 	lookEvery    = 100 * time.Millisecond // at what has become of a proposal
 	mostQueued   = 64                     // messages for one decider
-	mostEvents   = 1024                   // for the seat
-	seatWithin   = 3 * time.Second        // a message between deciders takes at most
+	mostEvents   = 1024                   // for the Raft node
+	nodeWithin   = 3 * time.Second        // a message between deciders takes at most
 	openEvery    = 200 * time.Millisecond // that a folder is tried which another process has
 	monotonic    = time.Hour              // readings begin at, so that none is 0
 	largestName  = 64
@@ -76,12 +76,12 @@
 
 	hurry time.Duration // of the asking goroutine: until then a change may be under way
 
-	// Of the seat's goroutine.
-	seat    *seat.Seat // nil: none, or its folder is not open yet
+	// Of the Raft node's goroutine.
+	node    *raftnode.Node // nil: none, or its folder is not open yet
 	folder  *disk.Log
 	waiting map[uint64]chan council.Answer
 	tokens  uint64
-	events  chan func(now seat.Time)
+	events  chan func(now raftnode.Time)
 	queues  map[string]chan []byte
 }
 
@@ -101,7 +101,7 @@
 		return nil, fmt.Errorf("policy: the first one: %s", fault)
 	}
 	c := &Agent{set: set, peers: peers, decides: decides, names: set.Deciders, count: len(set.Deciders), log: log.With("part", "policy"), origin: time.Now(), waiting: map[uint64]chan council.Answer{},
-		holder: policy.NewHolder(set.Name, set.Life, set.Terms), events: make(chan func(seat.Time), mostEvents), queues: map[string]chan []byte{}}
+		holder: policy.NewHolder(set.Name, set.Life, set.Terms), events: make(chan func(raftnode.Time), mostEvents), queues: map[string]chan []byte{}}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	if decides {
 		c.over.Add(1)
@@ -145,7 +145,7 @@
 
 // message is a call between sidecars: exactly one of its fields is set.
 type message struct {
-	Seat    []byte           `cbor:"1,keyasint,omitempty"` // of a decider for another one
+	Node    []byte           `cbor:"1,keyasint,omitempty"` // of a decider for another one
 	Ask     *policy.Question `cbor:"2,keyasint,omitempty"`
 	Get     uint64           `cbor:"3,keyasint,omitempty"` // a document
 	Propose *policy.Propose  `cbor:"4,keyasint,omitempty"`
@@ -215,32 +215,32 @@
 	defer cancel()
 	done := make(chan struct{})
 	var asked chan council.Answer
-	got := &reply{} // the seat's goroutine may come to it after this call has given up
-	do := func(now seat.Time) {
+	got := &reply{} // the Raft node's goroutine may come to it after this call has given up
+	do := func(now raftnode.Time) {
 		defer close(done)
-		if c.seat == nil {
+		if c.node == nil {
 			got.Fault = c.set.Name + " has not opened its folder yet"
 			return
 		}
-		got.Leader = c.seat.Leader()
-		l := c.seat.Ledger()
+		got.Leader = c.node.Leader()
+		l := c.node.Ledger()
 		switch {
-		case m.Seat != nil:
-			if err := c.seat.Receive(now, m.Seat); err != nil {
+		case m.Node != nil:
+			if err := c.node.Receive(now, m.Node); err != nil {
 				got.Fault = err.Error()
 			}
 		case m.Ask != nil:
 			c.tokens++
 			asked = make(chan council.Answer, 1)
 			c.waiting[c.tokens] = asked
-			c.seat.Ask(now, c.tokens, *m.Ask)
-			got.Deciders, _ = c.seat.Deciders()
+			c.node.Ask(now, c.tokens, *m.Ask)
+			got.Deciders, _ = c.node.Deciders()
 		case m.Propose != nil:
-			if err := c.seat.Propose(now, *m.Propose); err != nil {
+			if err := c.node.Propose(now, *m.Propose); err != nil {
 				got.Fault = err.Error()
 			}
 		case m.Replace != nil:
-			if err := c.seat.Replace(now, m.Replace.Out, m.Replace.In); err != nil {
+			if err := c.node.Replace(now, m.Replace.Out, m.Replace.In); err != nil {
 				got.Fault = err.Error()
 			}
 		case m.State:
@@ -288,10 +288,10 @@
 	return r
 }
 
-func (c *Agent) state(now seat.Time, l *policy.Ledger) *State {
-	s := &State{Decider: c.set.Name, Leader: c.seat.Leader(), Founded: l != nil, Candidates: c.seat.Waits(now), LeftOut: c.seat.LeftOut()}
-	s.Deciders, s.Settled = c.seat.Deciders()
-	if err := c.seat.Err(); err != nil {
+func (c *Agent) state(now raftnode.Time, l *policy.Ledger) *State {
+	s := &State{Decider: c.set.Name, Leader: c.node.Leader(), Founded: l != nil, Candidates: c.node.Waits(now), LeftOut: c.node.LeftOut()}
+	s.Deciders, s.Settled = c.node.Deciders()
+	if err := c.node.Err(); err != nil {
 		s.Broken = err.Error()
 	}
 	if l == nil {
@@ -300,7 +300,7 @@
 	d := l.InForce()
 	s.Number, s.Digest, s.Outcomes = d.Number, d.Digest.String(), l.Outcomes()
 	var most time.Duration
-	s.Waiting, most = c.seat.Waiting(now)
+	s.Waiting, most = c.node.Waiting(now)
 	s.Seconds = most.Round(time.Millisecond).Seconds()
 	if p := l.Pending(); p != nil {
 		s.Pending = &p.Outcome
@@ -308,10 +308,10 @@
 	return s
 }
 
-// sit is the seat's goroutine.
+// sit is the Raft node's goroutine.
 func (c *Agent) sit() {
 	c.open()
-	if c.seat == nil {
+	if c.node == nil {
 		return
 	}
 	defer c.folder.Close()
@@ -324,9 +324,9 @@
 		case do := <-c.events:
 			do(c.now())
 		case <-tick.C:
-			c.seat.Tick(c.now())
+			c.node.Tick(c.now())
 		}
-		out := c.seat.Out()
+		out := c.node.Out()
 		for _, m := range out.Send {
 			select {
 			case c.queue(m.To) <- m.Text:
@@ -339,7 +339,7 @@
 				asked <- a // has room for it
 			}
 		}
-		if c.seat.Err() != nil {
+		if c.node.Err() != nil {
 			for token, asked := range c.waiting {
 				delete(c.waiting, token)
 				asked <- council.Answer{Token: token, Err: council.ErrNoLeader}
@@ -366,7 +366,7 @@
 	return queue
 }
 
-// open opens the folder, once no other process has it, and takes the seat. Whatever else is wrong with it, this sidecar decides
+// open opens the folder, once no other process has it, and takes the Raft node. Whatever else is wrong with it, this sidecar decides
 // nothing, and serves as any other.
 func (c *Agent) open() {
 	for said := false; ; {
@@ -375,13 +375,13 @@
 			if dropped > 0 {
 				c.log.Warn("a torn record was dropped", "folder", c.set.Folder, "bytes", dropped)
 			}
-			s, failed := seat.New(c.now(), seat.Settings{Name: c.set.Name, Named: c.set.Deciders, First: c.set.First, Terms: c.set.Terms}, folder, c.log)
+			s, failed := raftnode.New(c.now(), raftnode.Settings{Name: c.set.Name, Named: c.set.Deciders, First: c.set.First, Terms: c.set.Terms}, folder, c.log)
 			if failed != nil {
 				c.log.Error("this decider takes no part", "err", failed)
 				_ = folder.Close() // nothing was written
 				return
 			}
-			c.seat, c.folder = s, folder
+			c.node, c.folder = s, folder
 			return
 		}
 		if !errors.Is(err, disk.ErrHeld) {
@@ -407,8 +407,8 @@
 		case <-c.ctx.Done():
 			return
 		case text := <-queue:
-			ctx, cancel := context.WithTimeout(c.ctx, seatWithin)
-			if r, err := c.call(ctx, to, message{Seat: text}); err != nil {
+			ctx, cancel := context.WithTimeout(c.ctx, nodeWithin)
+			if r, err := c.call(ctx, to, message{Node: text}); err != nil {
 				c.log.Debug("not sent", "to", to, "err", err)
 			} else if r.Fault != "" {
 				c.log.Debug("not taken", "by", to, "why", r.Fault)
@@ -537,7 +537,7 @@
 
 // check gets a document and has it checked.
 func (c *Agent) check(whom string, number uint64) (fault string) {
-	ctx, cancel := context.WithTimeout(c.ctx, seatWithin)
+	ctx, cancel := context.WithTimeout(c.ctx, nodeWithin)
 	defer cancel()
 	r, err := c.call(ctx, whom, message{Get: number})
 	if err != nil || r.Document == nil || r.Document.Number != number {
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/raftnode/node.go
@@ -1,7 +1,7 @@
-// Package seat is a decider's place in the council: it finds or founds the council (council.Founder), runs its part of it
+// Package raftnode is a decider's place in the council: it finds or founds the council (council.Founder), runs its part of it
 // (council.Machine), and has its folder (package disk) keep whatever must outlast this life before anything that rests on it is told. It
 // is stepped by one goroutine; what it waits for is the folder alone.
-package seat
+package raftnode
 
 import (
 	"errors"
@@ -45,7 +45,7 @@
 	Terms policy.Terms
 }
 
-// packet is what seats send each other: exactly one of its fields is set.
+// packet is what Raft nodes send each other: exactly one of its fields is set.
 type packet struct {
 	Hello  *council.Hello `cbor:"1,keyasint,omitempty"`
 	Sealed []byte         `cbor:"2,keyasint,omitempty"`
@@ -63,8 +63,8 @@
 	Answers []council.Answer
 }
 
-// Seat is one decider's.
-type Seat struct {
+// Node is one decider's.
+type Node struct {
 	set     Settings
 	folder  Folder
 	log     *slog.Logger
@@ -85,14 +85,14 @@
 	at Time
 }
 
-// New returns the seat of a life that begins now.
-func New(now Time, set Settings, folder Folder, log *slog.Logger) (*Seat, error) {
+// New returns the Raft node of a life that begins now.
+func New(now Time, set Settings, folder Folder, log *slog.Logger) (*Node, error) {
 	m := folder.Memory()
 	f, err := council.NewFounder(set.Name, m.Self, set.Named, set.First, m.Founding)
 	if err != nil {
 		return nil, err
 	}
-	s := &Seat{set: set, folder: folder, log: log, founder: f, names: map[uint64]string{}, waits: map[string]waiting{}, others: set.Named}
+	s := &Node{set: set, folder: folder, log: log, founder: f, names: map[uint64]string{}, waits: map[string]waiting{}, others: set.Named}
 	if m.Founding != nil {
 		return s, s.sit(now, m)
 	}
@@ -100,7 +100,7 @@
 }
 
 // sit takes part in the council that the folder names.
-func (s *Seat) sit(now Time, m disk.Memory) (err error) {
+func (s *Node) sit(now Time, m disk.Memory) (err error) {
 	s.machine, err = council.New(now, council.Settings{Self: m.Self, Founding: *m.Founding, Heard: m.Heard, Terms: s.set.Terms, Kept: m.Kept}, s.log)
 	if err == nil {
 		s.names = s.machine.Named()
@@ -109,7 +109,7 @@
 }
 
 // Deciders are the names of those who decide now, as far as is known here, in order; settled is false while one takes the place of another.
-func (s *Seat) Deciders() (names []string, settled bool) {
+func (s *Node) Deciders() (names []string, settled bool) {
 	if s.machine == nil {
 		return nil, false
 	}
@@ -118,7 +118,7 @@
 }
 
 // Waits are the names of those who wait for a place, in order.
-func (s *Seat) Waits(now Time) (names []string) {
+func (s *Node) Waits(now Time) (names []string) {
 	for name, w := range s.waits {
 		if now-w.at < waitsFor {
 			names = append(names, name)
@@ -129,13 +129,13 @@
 }
 
 // Replace has one that waits for a place take that of a decider. Which folder it has is what it said itself.
-func (s *Seat) Replace(now Time, out, in string) error {
+func (s *Node) Replace(now Time, out, in string) error {
 	if s.machine == nil || s.broken != nil {
 		return council.ErrNoLeader
 	}
 	w, known := s.waits[in]
 	if !known || now-w.at >= waitsFor {
-		return fmt.Errorf("seat: %.80q does not wait for a place here: start it as a decider, with an empty folder", in)
+		return fmt.Errorf("raftnode: %.80q does not wait for a place here: start it as a decider, with an empty folder", in)
 	}
 	err := s.machine.Replace(out, in, w.id)
 	s.settle(now)
@@ -143,13 +143,13 @@
 }
 
 // Err says why this decider takes part no more; nil: it does. Another life may, where its folder is whole.
-func (s *Seat) Err() error { return s.broken }
+func (s *Node) Err() error { return s.broken }
 
 // LeftOut tells whether there is a council that this decider waits for a place in.
-func (s *Seat) LeftOut() bool { return s.leftOut && s.machine == nil }
+func (s *Node) LeftOut() bool { return s.leftOut && s.machine == nil }
 
 // Ledger is what the log comes to here, which may be old; nil: there is no council yet.
-func (s *Seat) Ledger() *policy.Ledger {
+func (s *Node) Ledger() *policy.Ledger {
 	if s.machine == nil {
 		return nil
 	}
@@ -157,7 +157,7 @@
 }
 
 // Leader is the decider that leads as far as is known here; "": nobody is known to.
-func (s *Seat) Leader() string {
+func (s *Node) Leader() string {
 	if s.machine == nil || s.broken != nil {
 		return ""
 	}
@@ -165,7 +165,7 @@
 }
 
 // Waiting lists the sidecars that the change under way waits for, and how long at most, on the one that leads.
-func (s *Seat) Waiting(now Time) (names []string, most time.Duration) {
+func (s *Node) Waiting(now Time) (names []string, most time.Duration) {
 	if s.machine == nil || s.broken != nil {
 		return nil, 0
 	}
@@ -173,14 +173,14 @@
 }
 
 // Out takes what is to be done.
-func (s *Seat) Out() Actions {
+func (s *Node) Out() Actions {
 	out := s.out
 	s.out = Actions{}
 	return out
 }
 
-// Tick has the seat do what is due. It is to be called each council.TickEvery.
-func (s *Seat) Tick(now Time) {
+// Tick has the Raft node do what is due. It is to be called each council.TickEvery.
+func (s *Node) Tick(now Time) {
 	switch {
 	case s.broken != nil:
 	case s.machine == nil && now >= s.hello:
@@ -198,16 +198,16 @@
 }
 
 // Receive takes in a message of another decider. Its error says what is wrong with that message, not with this decider.
-func (s *Seat) Receive(now Time, text []byte) error {
+func (s *Node) Receive(now Time, text []byte) error {
 	if s.broken != nil {
 		return nil
 	}
 	if len(text) > mostText {
-		return fmt.Errorf("seat: a message of %d bytes, %d are allowed", len(text), mostText)
+		return fmt.Errorf("raftnode: a message of %d bytes, %d are allowed", len(text), mostText)
 	}
 	var p packet
 	if err := cbor.Unmarshal(text, &p); err != nil {
-		return fmt.Errorf("seat: a message that cannot be read: %w", err)
+		return fmt.Errorf("raftnode: a message that cannot be read: %w", err)
 	}
 	switch {
 	case p.Hello != nil:
@@ -225,7 +225,7 @@
 }
 
 // meet takes in a hello, and answers one that is of no council yet.
-func (s *Seat) meet(now Time, h council.Hello) error {
+func (s *Node) meet(now Time, h council.Hello) error {
 	if s.machine != nil {
 		return s.greet(now, h)
 	}
@@ -267,7 +267,7 @@
 const mostWaits = 16
 
 // greet answers one that is of no council with what this one is, and notes that it is there.
-func (s *Seat) greet(now Time, h council.Hello) error {
+func (s *Node) greet(now Time, h council.Hello) error {
 	if h.Founding != nil || h.ID == 0 || h.Name == "" || len(h.Name) > mostName {
 		return nil
 	}
@@ -275,7 +275,7 @@
 	if deciders[h.Name] != h.ID {
 		maps.DeleteFunc(s.waits, func(_ string, w waiting) bool { return now-w.at >= waitsFor })
 		if _, known := s.waits[h.Name]; !known && len(s.waits) >= mostWaits {
-			return fmt.Errorf("seat: %d wait for a place already", mostWaits)
+			return fmt.Errorf("raftnode: %d wait for a place already", mostWaits)
 		}
 		s.waits[h.Name] = waiting{h.ID, now}
 	}
@@ -286,7 +286,7 @@
 }
 
 // Ask takes in a sidecar's question. The answer follows under its token.
-func (s *Seat) Ask(now Time, token uint64, q policy.Question) {
+func (s *Node) Ask(now Time, token uint64, q policy.Question) {
 	if s.machine == nil || s.broken != nil {
 		s.out.Answers = append(s.out.Answers, council.Answer{Token: token, Err: council.ErrNoLeader})
 		return
@@ -296,7 +296,7 @@
 }
 
 // Propose asks for a change. What becomes of it stands in the ledger under its id.
-func (s *Seat) Propose(now Time, p policy.Propose) error {
+func (s *Node) Propose(now Time, p policy.Propose) error {
 	if s.machine == nil || s.broken != nil {
 		return council.ErrNoLeader
 	}
@@ -306,7 +306,7 @@
 }
 
 // settle keeps what is to be kept, and then tells what rests on it.
-func (s *Seat) settle(now Time) {
+func (s *Node) settle(now Time) {
 	for s.broken == nil {
 		b, due := s.machine.Batch()
 		if !due {
@@ -343,17 +343,17 @@
 	s.out.Answers = append(s.out.Answers, out.Answers...)
 }
 
-func (s *Seat) send(to string, p packet) {
+func (s *Node) send(to string, p packet) {
 	text, err := cbor.Marshal(p)
 	if err != nil || len(text) > mostText {
-		s.log.Error("seat: a message that cannot be sent", "to", to, "bytes", len(text), "err", err)
+		s.log.Error("raftnode: a message that cannot be sent", "to", to, "bytes", len(text), "err", err)
 		return
 	}
 	s.out.Send = append(s.out.Send, Message{to, text})
 }
 
 // fail has this decider take part no more. What was not told yet is told to nobody.
-func (s *Seat) fail(err error) {
+func (s *Node) fail(err error) {
 	s.broken, s.out = err, Actions{}
 	s.log.Error("this decider takes part no more", "err", err)
 }
--- a/internal/fleet/seat/seat_test.go
+++ b/internal/fleet/raftnode/node_test.go
@@ -1,4 +1,4 @@
-package seat
+package raftnode
 
 import (
 	"errors"
@@ -18,7 +18,7 @@
 	"milletramp.example/milletramp/internal/fleet/policy"
 )
 
-var plays = flag.Int("seat.plays", 5, "drawn plays of TestKilledAnywhere")
+var plays = flag.Int("raftnode.plays", 5, "drawn plays of TestKilledAnywhere")
 
 var names = []string{"a", "b", "c"}
 
@@ -41,7 +41,7 @@
 type place struct {
 	name    string
 	named   []string // deciders, by its file
-	seat    *Seat    // nil: down
+	node    *Node    // nil: down
 	log     *disk.Log
 	still   time.Duration
 	partial int // of the writes to come, the one that kills it; 0: none does
@@ -95,7 +95,7 @@
 // leader is who leads and answers; nil: nobody does.
 func (w *table) leader() *place {
 	for _, name := range w.order {
-		if p := w.places[name]; p.seat != nil && p.still <= w.now && p.seat.Leader() == p.name {
+		if p := w.places[name]; p.node != nil && p.still <= w.now && p.node.Leader() == p.name {
 			return p
 		}
 	}
@@ -105,7 +105,7 @@
 // replace asks whoever leads for one to take the place of another, and tells whether that has begun.
 func (w *table) replace(out, in string) (begun bool) {
 	if p := w.leader(); p != nil {
-		w.run(p, func(s *Seat) { begun = s.Replace(w.now, out, in) == nil })
+		w.run(p, func(s *Node) { begun = s.Replace(w.now, out, in) == nil })
 	}
 	return begun
 }
@@ -116,10 +116,10 @@
 	if p == nil {
 		return false
 	}
-	deciders, settled := p.seat.machine.Deciders()
+	deciders, settled := p.node.machine.Deciders()
 	for name, id := range deciders {
 		o := w.places[name]
-		if o.seat == nil || o.log.Memory().Self.ID != id || o.seat.machine == nil {
+		if o.node == nil || o.log.Memory().Self.ID != id || o.node.machine == nil {
 			return false
 		}
 	}
@@ -127,7 +127,7 @@
 }
 
 func (w *table) start(p *place) {
-	if p.seat != nil {
+	if p.node != nil {
 		return
 	}
 	log, _, err := disk.Open(w.folder(p.name), w.rng.Uint64()|1)
@@ -135,35 +135,35 @@
 		w.t.Fatal(err)
 	}
 	p.log = log
-	if p.seat, err = New(w.now, Settings{p.name, p.named, []byte("first"), policy.UsualTerms}, killing{log, p}, slog.New(slog.DiscardHandler)); err != nil {
+	if p.node, err = New(w.now, Settings{p.name, p.named, []byte("first"), policy.UsualTerms}, killing{log, p}, slog.New(slog.DiscardHandler)); err != nil {
 		w.t.Fatal(err)
 	}
 }
 
 func (w *table) kill(p *place) {
-	if p.seat == nil {
+	if p.node == nil {
 		return
 	}
 	if err := p.log.Close(); err != nil {
 		w.t.Fatal(err)
 	}
-	p.seat, p.partial = nil, 0
+	p.node, p.partial = nil, 0
 }
 
 // run has a decider do something, and what follows.
-func (w *table) run(p *place, do func(*Seat)) {
-	if p.seat == nil || p.still > w.now {
+func (w *table) run(p *place, do func(*Node)) {
+	if p.node == nil || p.still > w.now {
 		return
 	}
-	do(p.seat)
-	out := p.seat.Out()
-	if errors.Is(p.seat.Err(), errKilled) {
+	do(p.node)
+	out := p.node.Out()
+	if errors.Is(p.node.Err(), errKilled) {
 		w.kill(p)
 		return
 	}
 	for _, m := range out.Send {
 		deliver := func() {
-			w.run(w.places[m.To], func(s *Seat) {
+			w.run(w.places[m.To], func(s *Node) {
 				// What former lives and other councils have sent is still on its way.
 				_ = s.Receive(w.now, m.Text)
 			})
@@ -185,7 +185,7 @@
 func (w *table) step() {
 	w.now += council.TickEvery
 	for _, name := range w.order {
-		w.run(w.places[name], func(s *Seat) { s.Tick(w.now) })
+		w.run(w.places[name], func(s *Node) { s.Tick(w.now) })
 	}
 	if len(w.late) > 0 && w.rng.IntN(3) == 0 {
 		i := w.rng.IntN(len(w.late))
@@ -194,10 +194,10 @@
 		do()
 	}
 	for _, p := range w.places {
-		if p.seat == nil || p.seat.Ledger() == nil {
+		if p.node == nil || p.node.Ledger() == nil {
 			continue
 		}
-		for _, o := range p.seat.Ledger().Outcomes() {
+		for _, o := range p.node.Ledger().Outcomes() {
 			if o.State != policy.InForce && o.State != policy.Refused {
 				continue
 			}
@@ -223,7 +223,7 @@
 	}
 	w.id++
 	candidate := fmt.Sprint("p", w.id)
-	w.run(p, func(s *Seat) {
+	w.run(p, func(s *Node) {
 		if s.Propose(w.now, policy.Propose{ID: candidate, Author: "x", Follows: s.Ledger().InForce().Number, Text: []byte(candidate)}) == nil {
 			id = candidate
 		}
@@ -279,11 +279,11 @@
 		w.steps(200)
 		councils := map[uint64]bool{}
 		for _, p := range w.places {
-			if p.seat.Err() != nil || p.seat.Ledger() == nil {
-				t.Fatalf("seed %d: %s: %v, ledger %v", seed, p.name, p.seat.Err(), p.seat.Ledger())
+			if p.node.Err() != nil || p.node.Ledger() == nil {
+				t.Fatalf("seed %d: %s: %v, ledger %v", seed, p.name, p.node.Err(), p.node.Ledger())
 			}
-			councils[p.seat.founder.Founding().Council()] = true
-			if o := p.seat.Ledger().Outcome(id); id == "" || o.State != policy.InForce {
+			councils[p.node.founder.Founding().Council()] = true
+			if o := p.node.Ledger().Outcome(id); id == "" || o.State != policy.InForce {
 				t.Errorf("seed %d: %s: the last change %q is %v (%s)", seed, p.name, id, o.State, o.Reason)
 			}
 		}
@@ -310,7 +310,7 @@
 	}
 	w.lose("c")
 	w.steps(100)
-	if c := w.places["c"].seat; !c.LeftOut() || c.Ledger() != nil {
+	if c := w.places["c"].node; !c.LeftOut() || c.Ledger() != nil {
 		t.Errorf("without its folder it waits for a place: %v, ledger %v", c.LeftOut(), c.Ledger())
 	}
 	second := w.propose()
@@ -320,13 +320,13 @@
 	}
 	w.lose("b")
 	w.steps(200)
-	if b := w.places["b"].seat; !b.LeftOut() || b.Ledger() != nil {
+	if b := w.places["b"].node; !b.LeftOut() || b.Ledger() != nil {
 		t.Errorf("the second without its folder waits for a place: %v, ledger %v", b.LeftOut(), b.Ledger())
 	}
 	if id := w.propose(); id != "" && w.ended[id].State == policy.InForce {
 		t.Errorf("%+v with one folder of three", w.ended[id])
 	}
-	a := w.places["a"].seat
+	a := w.places["a"].node
 	if a.Err() != nil || a.Ledger().Outcome(second).State != policy.InForce {
 		t.Errorf("the one that remembers: %v, %v", a.Err(), a.Ledger().Outcome(second))
 	}
@@ -359,7 +359,7 @@
 		t.Fatal("c does not take its place again, or does so twice at once")
 	}
 	w.steps(100)
-	if got, settled := w.leader().seat.Deciders(); !settled || !slices.Equal(got, names) || !w.whole() {
+	if got, settled := w.leader().node.Deciders(); !settled || !slices.Equal(got, names) || !w.whole() {
 		t.Fatalf("%v decide, settled %v", got, settled)
 	}
 	w.kill(w.places["b"]) // so c's word is needed
@@ -401,7 +401,7 @@
 	}
 	w.steps(200)
 	w.changes("without who led")
-	if err := w.places[led].seat.Err(); !errors.Is(err, council.ErrReplaced) {
+	if err := w.places[led].node.Err(); !errors.Is(err, council.ErrReplaced) {
 		t.Errorf("%s, which was replaced: %v", led, err)
 	}
 }
@@ -435,7 +435,7 @@
 					w.lose(p.name)
 				}
 			default:
-				if w.rng.IntN(4) == 0 && p.seat != nil && p.seat.LeftOut() && w.replace(p.name, p.name) {
+				if w.rng.IntN(4) == 0 && p.node != nil && p.node.LeftOut() && w.replace(p.name, p.name) {
 					replaced++
 				}
 			}
@@ -448,7 +448,7 @@
 		}
 		w.steps(250)
 		for _, name := range names {
-			if w.places[name].seat.LeftOut() {
+			if w.places[name].node.LeftOut() {
 				w.replace(name, name)
 				w.steps(100)
 			}
@@ -457,10 +457,10 @@
 		id := w.propose()
 		w.steps(200)
 		for _, p := range w.places {
-			if p.seat.Err() != nil || p.seat.Ledger() == nil {
-				t.Fatalf("seed %d: %s: %v, ledger %v", seed, p.name, p.seat.Err(), p.seat.Ledger())
+			if p.node.Err() != nil || p.node.Ledger() == nil {
+				t.Fatalf("seed %d: %s: %v, ledger %v", seed, p.name, p.node.Err(), p.node.Ledger())
 			}
-			if o := p.seat.Ledger().Outcome(id); id == "" || o.State != policy.InForce {
+			if o := p.node.Ledger().Outcome(id); id == "" || o.State != policy.InForce {
 				t.Errorf("seed %d: %s: the last change %q is %v (%s)", seed, p.name, id, o.State, o.Reason)
 			}
 		}
@@ -484,13 +484,13 @@
 	rubbish := [][]byte{nil, {1}, []byte("who is there"), make([]byte, 5000), make([]byte, mostText+1)}
 	for range 2 { // before there is a council, and in it
 		for _, text := range rubbish {
-			if err := w.places["a"].seat.Receive(w.now, text); err == nil {
+			if err := w.places["a"].node.Receive(w.now, text); err == nil {
 				t.Errorf("%d bytes are taken", len(text))
 			}
 		}
 		w.steps(100)
 	}
-	if err := w.places["a"].seat.Err(); err != nil || w.propose() == "" {
+	if err := w.places["a"].node.Err(); err != nil || w.propose() == "" {
 		t.Errorf("the council does not go on: %v", err)
 	}
 }
--- a/internal/lab/fleet/mutants/mutants_test.go
+++ b/internal/lab/fleet/mutants/mutants_test.go
@@ -128,9 +128,9 @@
 	{"kept on after a failed write", "disk/disk.go", "l.broken = fmt.Errorf(\"council's folder %s, nothing", "_ = fmt.Errorf(\"council's folder %s, nothing", "TestFullDisk"},
 	{"a request held against nothing when it is taken", "../sidecar/policy.go", "return ok && now == number && g.host.terms.Load().policy == number", "return ok || now+number > 0", "TestGate"},
 	{"a file taken beside the policy", "../sidecar/reload.go", "if how := h.gate.differs(c); how != \"\" {", "if how := \"\"; how != \"\" {", "TestGateAndFile"},
-	{"a place taken with nothing to begin from", "council/council.go", "m.changed = true // Danger", "m.changed = false // Danger", "seat TestReplaced"},
-	{"who was replaced goes on", "council/council.go", "m.broken, m.grants = ErrReplaced, nil", "_ = ErrReplaced", "seat TestReplaced"},
-	{"a place given to who was never heard of", "seat/seat.go", "if !known || now-w.at >= waitsFor {", "if w.id |= 1; !known && false {", "seat TestReplaced"},
+	{"a place taken with nothing to begin from", "council/council.go", "m.changed = true // Danger", "m.changed = false // Danger", "raftnode TestReplaced"},
+	{"who was replaced goes on", "council/council.go", "m.broken, m.grants = ErrReplaced, nil", "_ = ErrReplaced", "raftnode TestReplaced"},
+	{"a place given to who was never heard of", "raftnode/node.go", "if !known || now-w.at >= waitsFor {", "if w.id |= 1; !known && false {", "raftnode TestReplaced"},
 	{"a decider without memory that votes", "council/founding.go", "case h.Deciders[f.name] == f.self.ID:", "case true:", "TestFoundedOnce"},
 	{"refused after it was committed", "policy/ledger.go", "e.Refuse.Number == p.Number && p.State == Proposed", "e.Refuse.Number == p.Number", "TestLedger"},
 }
