--- a/cmd/milletramp/policy.go
+++ b/cmd/milletramp/policy.go
@@ -277,7 +277,7 @@
 		if len(d.Waiting) > 0 {
 			fmt.Fprintf(&b, ", waits for %s, %.1f s at most", strings.Join(d.Waiting, ", "), d.Seconds)
 		}
-		if !d.Settled && d.Founded {
+		if !d.Settled && d.Bootstrapped {
 			fmt.Fprint(&b, "; one decider is taking the place of another")
 		}
 		if d.LeftOut {
--- a/deploy/policy_test.go
+++ b/deploy/policy_test.go
@@ -32,8 +32,8 @@
 		strings.Join(list, ","))
 }
 
-// newCouncil starts n sidecars of one fleet, of which the first three decide on its policy.
-func newCouncil(t *testing.T, n int, promise time.Duration) (sites []*site, processes []*process) {
+// newDeciders starts n sidecars of one fleet, of which the first three decide on its policy.
+func newDeciders(t *testing.T, n int, promise time.Duration) (sites []*site, processes []*process) {
 	t.Helper()
 	dir := aside.Folder(t)
 	var peers []string
@@ -160,7 +160,7 @@
 // its old file, and a decider that is killed, all serve under the new one or not at all. A file that differs is turned
 // down, and so is a document that one sidecar cannot run.
 func TestPolicy(t *testing.T) {
-	sites, p := newCouncil(t, 5, 3*time.Second)
+	sites, p := newDeciders(t, 5, 3*time.Second)
 	v, stop := watchAll(sites)
 	under := func(s *site, class string, want decided) {
 		t.Helper()
@@ -247,7 +247,7 @@
 // TestLargePolicy has a policy of as many tenants as settings may have come into force under load: it is one change like others, and no
 // request is refused for it. One of 10,000 is refused whole, and says why.
 func TestLargePolicy(t *testing.T) {
-	sites, p := newCouncil(t, 3, 3*time.Second)
+	sites, p := newDeciders(t, 3, 3*time.Second)
 	policy := func(n int) string {
 		var tenants []string
 		for i := range n {
@@ -309,7 +309,7 @@
 // for good, while the rest serves and changes its policy. Each new one's word is needed for a change after it. Who was replaced and
 // comes back with its folder decides nothing, and serves as any other.
 func TestDeciderReplaced(t *testing.T) {
-	sites, p := newCouncil(t, 4, time.Second)
+	sites, p := newDeciders(t, 4, time.Second)
 	fleet := strings.TrimPrefix(sites[0].env[0], "MILLETRAMP_FLEET=")
 	good := filepath.Join(t.TempDir(), "good.json")
 	if err := os.WriteFile(good, []byte(document("read", "new")), 0o600); err != nil {
@@ -368,7 +368,7 @@
 
 // TestPolicyTool uses the operators' tool as they do: what it says, and its exit status.
 func TestPolicyTool(t *testing.T) {
-	sites, p := newCouncil(t, 3, time.Second)
+	sites, p := newDeciders(t, 3, time.Second)
 	dir := t.TempDir()
 	file := func(name, text string) string {
 		t.Helper()
--- a/internal/fleet/council/founding_test.go
+++ b/internal/fleet/consensus/bootstrap_test.go
@@ -1,4 +1,4 @@
-package council
+package consensus
 
 import (
 	"errors"
@@ -16,24 +16,24 @@
 )
 
 // founderWorld is named deciders that say hello to each other, lose their folders and come back.
-type founderWorld struct {
-	t        *rapid.T
-	now      time.Duration
-	names    []string
-	machines map[string]*Founder // nil: down
-	folders  map[string]folder
-	ids      uint64
-	sent     []func()
-	founded  map[uint64]map[string]uint64 // by council: who has held it, and with which folder
-	lost     bool                         // some folder was lost
+type bootstrapWorld struct {
+	t            *rapid.T
+	now          time.Duration
+	names        []string
+	machines     map[string]*Bootstrapper // nil: down
+	folders      map[string]folder
+	ids          uint64
+	sent         []func()
+	bootstrapped map[uint64]map[string]uint64 // by consensus group: who has held it, and with which folder
+	lost         bool                         // some folder was lost
 }
 
 type folder struct {
-	self     Self
-	founding *Founding
+	self      Self
+	bootstrap *Bootstrap
 }
 
-func (w *founderWorld) start(name string) {
+func (w *bootstrapWorld) start(name string) {
 	f := w.folders[name]
 	if f.self.ID == 0 {
 		w.ids++
@@ -41,7 +41,7 @@
 	}
 	f.self.Life++
 	w.folders[name] = f
-	m, err := NewFounder(name, f.self, w.names, first, f.founding)
+	m, err := NewBootstrapper(name, f.self, w.names, first, f.bootstrap)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -49,7 +49,7 @@
 }
 
 // hear has a machine take in a hello, and what is to be kept be kept.
-func (w *founderWorld) hear(name string, h Hello) {
+func (w *bootstrapWorld) hear(name string, h Hello) {
 	m := w.machines[name]
 	if m == nil {
 		return
@@ -58,29 +58,29 @@
 		w.t.Fatal(err)
 	}
 	f := w.folders[name]
-	if f.founding != nil && m.Founding().Council() != f.founding.Council() {
-		w.t.Fatalf("%s was of %v and is of %v", name, f.founding, m.Founding())
+	if f.bootstrap != nil && m.Bootstrap().Group() != f.bootstrap.Group() {
+		w.t.Fatalf("%s was of %v and is of %v", name, f.bootstrap, m.Bootstrap())
 	}
-	if m.Founding() == nil {
+	if m.Bootstrap() == nil {
 		return
 	}
-	f.founding = m.Founding()
+	f.bootstrap = m.Bootstrap()
 	w.folders[name] = f
-	if w.founded[f.founding.Council()] == nil {
-		w.founded[f.founding.Council()] = map[string]uint64{}
+	if w.bootstrapped[f.bootstrap.Group()] == nil {
+		w.bootstrapped[f.bootstrap.Group()] = map[string]uint64{}
 	}
-	w.founded[f.founding.Council()][name] = f.self.ID
-	if f.founding.Deciders[name] != f.self.ID {
-		w.t.Fatalf("%s with folder %x is of %v", name, f.self.ID, f.founding)
+	w.bootstrapped[f.bootstrap.Group()][name] = f.self.ID
+	if f.bootstrap.Deciders[name] != f.self.ID {
+		w.t.Fatalf("%s with folder %x is of %v", name, f.self.ID, f.bootstrap)
 	}
 }
 
-// TestFoundedOnce: whatever gets lost of hellos and folders, no two councils ever have a majority of their own; one whose
-// folder is lost is of no council that it was of before; and where none is lost, all are of one.
-func TestFoundedOnce(t *testing.T) {
+// TestBootstrappedOnce: whatever gets lost of hellos and folders, no two consensus groups ever have a majority of their own; one whose
+// folder is lost is of no consensus group that it was of before; and where none is lost, all are of one.
+func TestBootstrappedOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &founderWorld{t: t, now: time.Hour, names: []string{"a", "b", "c"}, machines: map[string]*Founder{}, folders: map[string]folder{},
-			founded: map[uint64]map[string]uint64{}}
+		w := &bootstrapWorld{t: t, now: time.Hour, names: []string{"a", "b", "c"}, machines: map[string]*Bootstrapper{}, folders: map[string]folder{},
+			bootstrapped: map[uint64]map[string]uint64{}}
 		if rapid.Bool().Draw(t, "five") {
 			w.names = append(w.names, "d", "e")
 		}
@@ -98,7 +98,7 @@
 				// A majority that loses its folders at once is what the operators have to see to: of these nobody knows.
 				lives := 0
 				for _, f := range w.folders {
-					if f.founding != nil {
+					if f.bootstrap != nil {
 						lives++
 					}
 				}
@@ -126,21 +126,21 @@
 				}
 			}
 		}
-		// A decider is of one council only, so two with a majority need two folders of one name that both were of one.
+		// A decider is of one consensus group only, so two with a majority need two folders of one name that both were of one.
 		var able []uint64
-		for council, of := range w.founded {
+		for consensus, of := range w.bootstrapped {
 			n := 0
 			for name, id := range of {
-				if f := w.folders[name]; f.self.ID == id && f.founding != nil && f.founding.Council() == council {
+				if f := w.folders[name]; f.self.ID == id && f.bootstrap != nil && f.bootstrap.Group() == consensus {
 					n++
 				}
 			}
 			if n > len(w.names)/2 {
-				able = append(able, council)
+				able = append(able, consensus)
 			}
 		}
 		if len(able) > 1 {
-			t.Fatalf("councils %x each have a majority", able)
+			t.Fatalf("groups %x each have a majority", able)
 		}
 		if w.lost {
 			return
@@ -159,69 +159,69 @@
 				}
 			}
 		}
-		if len(w.founded) != 1 {
-			t.Fatalf("no folder was lost, all have heard each other, and there are councils %v", slices.Collect(maps.Keys(w.founded)))
+		if len(w.bootstrapped) != 1 {
+			t.Fatalf("no folder was lost, all have heard each other, and there are groups %v", slices.Collect(maps.Keys(w.bootstrapped)))
 		}
 	})
 }
 
-// TestFounder: what it takes to found a council, and who is turned away.
-func TestFounder(t *testing.T) {
+// TestBootstrapper: what it takes to bootstrap a consensus group, and who is turned away.
+func TestBootstrapper(t *testing.T) {
 	names := []string{"a", "b", "c"}
-	machine := func(name string, id uint64, first string, known *Founding) *Founder {
+	machine := func(name string, id uint64, first string, known *Bootstrap) *Bootstrapper {
 		t.Helper()
-		f, err := NewFounder(name, Self{id, 1}, names, []byte(first), known)
+		f, err := NewBootstrapper(name, Self{id, 1}, names, []byte(first), known)
 		if err != nil {
 			t.Fatal(err)
 		}
 		return f
 	}
 	a, b, c := machine("a", 1, "x", nil), machine("b", 2, "x", nil), machine("c", 3, "x", nil)
-	hear := func(f *Founder, now time.Duration, h Hello, want error) {
+	hear := func(f *Bootstrapper, now time.Duration, h Hello, want error) {
 		t.Helper()
 		if err := f.Heard(now, h); !errors.Is(err, want) {
 			t.Errorf("error %v, want %v", err, want)
 		}
 	}
 	hear(a, 1, b.Hello(), nil)
-	if a.Founding() != nil {
-		t.Error("two of three found a council")
+	if a.Bootstrap() != nil {
+		t.Error("two of three bootstrap a group")
 	}
 	hear(a, 1+helloFor, c.Hello(), nil)
-	if a.Founding() != nil {
+	if a.Bootstrap() != nil {
 		t.Error("a hello that is too old counts")
 	}
 	hear(a, 1+helloFor, machine("b", 2, "y", nil).Hello(), ErrOtherFile)
 	hear(a, 1+helloFor, b.Hello(), nil)
-	if a.Founding() == nil || a.Founding().Deciders["c"] != 3 {
-		t.Fatalf("%v, all three are there", a.Founding())
+	if a.Bootstrap() == nil || a.Bootstrap().Deciders["c"] != 3 {
+		t.Fatalf("%v, all three are there", a.Bootstrap())
 	}
 	hear(b, 1, a.Hello(), nil)
-	if b.Founding() == nil || b.Founding().Council() != a.Founding().Council() {
-		t.Errorf("%v, it is named in %v", b.Founding(), a.Founding())
+	if b.Bootstrap() == nil || b.Bootstrap().Group() != a.Bootstrap().Group() {
+		t.Errorf("%v, it is named in %v", b.Bootstrap(), a.Bootstrap())
 	}
 	// c comes back without its folder: both know it with another one.
 	lost := machine("c", 9, "x", nil)
 	hear(lost, 1, a.Hello(), ErrLeftOut)
 	hear(lost, 1, b.Hello(), ErrLeftOut)
-	if lost.Founding() != nil {
-		t.Errorf("%v without its folder", lost.Founding())
+	if lost.Bootstrap() != nil {
+		t.Errorf("%v without its folder", lost.Bootstrap())
 	}
-	if _, err := NewFounder("c", Self{9, 1}, names, nil, a.Founding()); err == nil {
+	if _, err := NewBootstrapper("c", Self{9, 1}, names, nil, a.Bootstrap()); err == nil {
 		t.Error("another decider's folder is taken")
 	}
 	// It is given its place again, and comes back with what it has kept of that.
 	given := a.Hello()
 	given.Deciders = map[string]uint64{"a": 1, "b": 2, "c": 9}
 	hear(lost, 2, given, nil)
-	if f := lost.Founding(); f == nil || f.Council() != a.Founding().Council() || f.Known()["c"] != 9 {
+	if f := lost.Bootstrap(); f == nil || f.Group() != a.Bootstrap().Group() || f.Known()["c"] != 9 {
 		t.Fatalf("%v, it was given its place", f)
 	}
-	if again, err := NewFounder("c", Self{9, 2}, names, nil, lost.Founding()); err != nil || again.Founding() == nil {
+	if again, err := NewBootstrapper("c", Self{9, 2}, names, nil, lost.Bootstrap()); err != nil || again.Bootstrap() == nil {
 		t.Errorf("%v, error %v", again, err)
 	}
 	for _, wrong := range [][]string{nil, {"a", "b"}, {"a", "b", "b"}, {"b", "c", "d"}, {"a", "b", "c", "d"}} {
-		if _, err := NewFounder("a", Self{1, 1}, wrong, nil, nil); err == nil {
+		if _, err := NewBootstrapper("a", Self{1, 1}, wrong, nil, nil); err == nil {
 			t.Errorf("deciders %v are taken", wrong)
 		}
 	}
@@ -327,40 +327,40 @@
 	}
 }
 
-// TestGuard: envelopes of strangers, of another council and of former lives are turned away, and a further life is told once.
+// TestGuard: envelopes of strangers, of another consensus group and of former lives are turned away, and a further life is told once.
 func TestGuard(t *testing.T) {
 	f := newFleet(t, 7, 3, 1)
 	m := f.deciders[0].machine
-	send := func(council, from, life uint64) (bool, error) {
-		text, err := cbor.Marshal(Envelope{Council: council, From: from, Life: life})
+	send := func(consensus, from, life uint64) (bool, error) {
+		text, err := cbor.Marshal(Envelope{Group: consensus, From: from, Life: life})
 		if err != nil {
 			t.Fatal(err)
 		}
 		_, news, err := m.guard.open(text)
 		return len(news) > 0, err
 	}
-	c := founding.Council()
+	c := bootstrap.Group()
 	m.guard.lives = map[uint64]uint64{}
 	for _, tt := range []struct {
-		council, from, life uint64
-		news                bool
-		err                 error
+		consensus, from, life uint64
+		news                  bool
+		err                   error
 	}{
 		{c, 2, 5, true, nil}, {c, 2, 5, false, nil}, {c, 2, 4, false, errFormerLife}, {c, 2, 7, true, nil}, {c, 3, 1, true, nil},
 		{c + 1, 2, 9, false, errStranger}, {c, 4, 1, false, errStranger}, {c, 3, 0, false, errStranger},
 	} {
-		if news, err := send(tt.council, tt.from, tt.life); news != tt.news || !errors.Is(err, tt.err) {
+		if news, err := send(tt.consensus, tt.from, tt.life); news != tt.news || !errors.Is(err, tt.err) {
 			t.Errorf("%+v: news %v, error %v", tt, news, err)
 		}
 	}
-	text, err := cbor.Marshal(Envelope{Council: c, From: 2, Life: 9, Lives: map[uint64]uint64{1: 3, 3: 6}})
+	text, err := cbor.Marshal(Envelope{Group: c, From: 2, Life: 9, Lives: map[uint64]uint64{1: 3, 3: 6}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := m.Step(text); !errors.Is(err, ErrForgot) || !errors.Is(m.Step(nil), ErrForgot) {
 		t.Errorf("error %v from one that another has heard of in a later life", err)
 	}
-	if _, err := New(0, Settings{Self: Self{1, 0}, Founding: founding, Terms: policy.UsualTerms}, slog.New(slog.DiscardHandler)); err == nil {
+	if _, err := New(0, Settings{Self: Self{1, 0}, Bootstrap: bootstrap, Terms: policy.UsualTerms}, slog.New(slog.DiscardHandler)); err == nil {
 		t.Error("a decider without a life begins")
 	}
 }
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/consensus/consensus.go
@@ -1,8 +1,8 @@
-// Package council keeps the log of the fleet's policy among a few named sidecars, the deciders, by Raft
+// Package consensus keeps the log of the fleet's policy among a few named sidecars, the deciders, by Raft
 // (go.etcd.io/raft/v3), and answers questions on who may serve. It is a stepped machine: the time, messages, questions and
 // proposals go in; what is to be kept, sent and answered comes out. It has no clock, socket, disk or goroutine; Raft draws its
 // election times by itself, so that a play does not replay to the byte.
-package council
+package consensus
 
 import (
 	"encoding/binary"
@@ -37,11 +37,11 @@
 
 // Settings are what a Machine is told at its start.
 type Settings struct {
-	Self     Self
-	Founding Founding
-	Heard    map[uint64]uint64 // lives of the others that were heard of
-	Terms    policy.Terms
-	Kept     Kept // what a former life has left; the zero value: nothing
+	Self      Self
+	Bootstrap Bootstrap
+	Heard     map[uint64]uint64 // lives of the others that were heard of
+	Terms     policy.Terms
+	Kept      Kept // what a former life has left; the zero value: nothing
 }
 
 // Kept is what a decider keeps on disk.
@@ -126,58 +126,58 @@
 
 // New returns a machine that goes on where Kept ended, or begins with the first policy in force.
 func New(now Time, set Settings, log *slog.Logger) (*Machine, error) {
-	members := set.Founding.ids()
+	members := set.Bootstrap.ids()
 	if !slices.Contains(members, set.Self.ID) || set.Self.Life == 0 {
-		return nil, fmt.Errorf("council: decider %x in its life %d is none of %v", set.Self.ID, set.Self.Life, set.Founding)
+		return nil, fmt.Errorf("consensus: decider %x in its life %d is none of %v", set.Self.ID, set.Self.Life, set.Bootstrap)
 	}
 	if err := set.Terms.Check(); err != nil {
-		return nil, fmt.Errorf("council: %w", err)
+		return nil, fmt.Errorf("consensus: %w", err)
 	}
-	m := &Machine{set: set, storage: raft.NewMemoryStorage(), heard: map[uint64]uint64{}, sent: map[uint64]Time{}, ledger: policy.NewLedger(set.Founding.First),
-		names: maps.Clone(set.Founding.Known())}
-	m.guard = guard{set.Founding.Council(), set.Self, members, map[uint64]uint64{}}
+	m := &Machine{set: set, storage: raft.NewMemoryStorage(), heard: map[uint64]uint64{}, sent: map[uint64]Time{}, ledger: policy.NewLedger(set.Bootstrap.First),
+		names: maps.Clone(set.Bootstrap.Known())}
+	m.guard = guard{set.Bootstrap.Group(), set.Self, members, map[uint64]uint64{}}
 	maps.Copy(m.guard.lives, set.Heard)
-	snapshot, joins := set.Kept.Snapshot, set.Founding.Joined != nil
+	snapshot, joins := set.Kept.Snapshot, set.Bootstrap.Joined != nil
 	if raft.IsEmptySnap(snapshot) && !joins {
-		// Danger: a council that each member begins for itself would be several. All begin with the same snapshot, at the same place.
-		text, err := cbor.Marshal(image{First: set.Founding.First, Deciders: m.names})
+		// Danger: a consensus group that each member begins for itself would be several. All begin with the same snapshot, at the same place.
+		text, err := cbor.Marshal(image{First: set.Bootstrap.First, Deciders: m.names})
 		if err != nil {
-			return nil, fmt.Errorf("council: first policy: %w", err)
+			return nil, fmt.Errorf("consensus: first policy: %w", err)
 		}
 		snapshot = raftpb.Snapshot{Data: text, Metadata: raftpb.SnapshotMetadata{Index: 1, Term: 1, ConfState: raftpb.ConfState{Voters: members}}}
 	}
 	// One that takes another's place has nothing until the leader sends it a snapshot, and stands for no election before.
 	if !raft.IsEmptySnap(snapshot) {
 		if err := m.storage.ApplySnapshot(snapshot); err != nil {
-			return nil, fmt.Errorf("council: snapshot: %w", err)
+			return nil, fmt.Errorf("consensus: snapshot: %w", err)
 		}
 		if err := m.restore(snapshot); err != nil {
 			return nil, err
 		}
 	}
 	if err := m.storage.Append(set.Kept.Entries); err != nil {
-		return nil, fmt.Errorf("council: entries: %w", err)
+		return nil, fmt.Errorf("consensus: entries: %w", err)
 	}
 	state := set.Kept.State
 	if raft.IsEmptyHardState(state) && !joins { // the first election is for a term of its own, not for that of the common beginning
 		state = raftpb.HardState{Term: 1, Commit: 1}
 	}
 	if err := m.storage.SetHardState(state); err != nil {
-		return nil, fmt.Errorf("council: state: %w", err)
+		return nil, fmt.Errorf("consensus: state: %w", err)
 	}
 	var err error
 	m.raw, err = raft.NewRawNode(&raft.Config{ID: set.Self.ID, ElectionTick: electionTicks, HeartbeatTick: 1, Storage: m.storage, Applied: m.applied,
 		MaxSizePerMsg: mostPerSend, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 8 << 20, CheckQuorum: true, PreVote: true,
 		DisableProposalForwarding: true, StepDownOnRemoval: true, Logger: logger{log}})
 	if err != nil {
-		return nil, fmt.Errorf("council: %w", err)
+		return nil, fmt.Errorf("consensus: %w", err)
 	}
 	return m, nil
 }
 
 // image is what a snapshot holds.
 type image struct {
-	First    []byte            `cbor:"1,keyasint,omitempty"` // of a council that begins, in place of a ledger
+	First    []byte            `cbor:"1,keyasint,omitempty"` // of a consensus group that begins, in place of a ledger
 	Ledger   []byte            `cbor:"2,keyasint,omitempty"`
 	Deciders map[string]uint64 `cbor:"3,keyasint"`
 	Former   map[string]uint64 `cbor:"4,keyasint,omitempty"`
@@ -191,7 +191,7 @@
 		l, err = policy.DecodeLedger(i.Ledger)
 	}
 	if err != nil {
-		return fmt.Errorf("council: snapshot at %d: %w", s.Metadata.Index, err)
+		return fmt.Errorf("consensus: snapshot at %d: %w", s.Metadata.Index, err)
 	}
 	m.ledger, m.applied, m.snapped, m.names, m.former, m.changed = l, s.Metadata.Index, s.Metadata.Index, i.Deciders, i.Former, false
 	m.decided(s.Metadata.ConfState)
@@ -239,37 +239,37 @@
 	case m.grants == nil:
 		return ErrNoLeader
 	case len(m.confs.VotersOutgoing) > 0:
-		return errors.New("council: one decider is taking the place of another; again when that is through")
+		return errors.New("consensus: one decider is taking the place of another; again when that is through")
 	case !decides:
-		return fmt.Errorf("council: %.80q is no decider", out)
+		return fmt.Errorf("consensus: %.80q is no decider", out)
 	case in == "" || id == 0 || in != out && other || slices.Contains(m.guard.members, id):
-		return fmt.Errorf("council: %.80q, with its folder of number %x, is a decider already or cannot be one", in, id)
+		return fmt.Errorf("consensus: %.80q, with its folder of number %x, is a decider already or cannot be one", in, id)
 	}
 	text, err := cbor.Marshal(replacing{out, in, id})
 	if err != nil {
-		return fmt.Errorf("council: %w", err)
+		return fmt.Errorf("consensus: %w", err)
 	}
 	err = m.raw.ProposeConfChange(raftpb.ConfChangeV2{Context: text, Changes: []raftpb.ConfChangeSingle{
 		{Type: raftpb.ConfChangeAddNode, NodeID: id}, {Type: raftpb.ConfChangeRemoveNode, NodeID: m.names[out]}}})
 	if err != nil {
-		return fmt.Errorf("council: %w", err)
+		return fmt.Errorf("consensus: %w", err)
 	}
 	return nil
 }
 
 // ErrReplaced says that another decider has taken this one's place. It takes part no more.
-var ErrReplaced = errors.New("council: another decider has taken this one's place")
+var ErrReplaced = errors.New("consensus: another decider has taken this one's place")
 
 // reshape takes in an entry on who decides.
 func (m *Machine) reshape(e raftpb.Entry) error {
 	var c raftpb.ConfChangeV2
 	if err := c.Unmarshal(e.Data); err != nil {
-		return fmt.Errorf("council: entry %d: %w", e.Index, err)
+		return fmt.Errorf("consensus: entry %d: %w", e.Index, err)
 	}
 	if len(c.Context) > 0 {
 		var r replacing
 		if err := cbor.Unmarshal(c.Context, &r); err != nil {
-			return fmt.Errorf("council: entry %d: %w", e.Index, err)
+			return fmt.Errorf("consensus: entry %d: %w", e.Index, err)
 		}
 		m.former, m.names = m.names, maps.Clone(m.names)
 		delete(m.names, r.Out)
@@ -336,7 +336,7 @@
 
 // ErrForgot says that another decider counts on what this one does not have: its folder was cut, or an older copy is in its place. It
 // takes part no more.
-var ErrForgot = errors.New("council: the others count on entries that this decider has lost; give it an empty folder and add it anew")
+var ErrForgot = errors.New("consensus: the others count on entries that this decider has lost; give it an empty folder and add it anew")
 
 // Step takes in a message of another decider.
 func (m *Machine) Step(text []byte) error {
@@ -353,10 +353,10 @@
 	maps.Copy(m.heard, news)
 	var msg raftpb.Message
 	if err := msg.Unmarshal(e.Text); err != nil {
-		return fmt.Errorf("council: a message that cannot be read: %w", err)
+		return fmt.Errorf("consensus: a message that cannot be read: %w", err)
 	}
 	if msg.From != e.From || msg.To != m.set.Self.ID {
-		return fmt.Errorf("council: a message from %x to %x in an envelope of %x", msg.From, msg.To, e.From)
+		return fmt.Errorf("consensus: a message from %x to %x in an envelope of %x", msg.From, msg.To, e.From)
 	}
 	// Danger: what the leader says is committed this decider has said that it has.
 	if last, err := m.storage.LastIndex(); err == nil && msg.Type == raftpb.MsgHeartbeat && msg.Commit > last && m.ready == nil {
@@ -364,7 +364,7 @@
 		return m.broken
 	}
 	if err := m.raw.Step(msg); err != nil {
-		return fmt.Errorf("council: message from %d: %w", msg.From, err)
+		return fmt.Errorf("consensus: message from %d: %w", msg.From, err)
 	}
 	return nil
 }
@@ -376,10 +376,10 @@
 	}
 	text, err := cbor.Marshal(policy.Entry{Propose: &p})
 	if err != nil {
-		return fmt.Errorf("council: proposal %q: %w", p.ID, err)
+		return fmt.Errorf("consensus: proposal %q: %w", p.ID, err)
 	}
 	if err := m.raw.Propose(text); err != nil {
-		return fmt.Errorf("council: proposal %q: %w", p.ID, err)
+		return fmt.Errorf("consensus: proposal %q: %w", p.ID, err)
 	}
 	return nil
 }
@@ -436,7 +436,7 @@
 
 // seal puts a message into an envelope.
 func (m *Machine) seal(text []byte) ([]byte, error) {
-	return cbor.Marshal(Envelope{m.guard.council, m.set.Self.ID, m.set.Self.Life, text, m.guard.lives})
+	return cbor.Marshal(Envelope{m.guard.group, m.set.Self.ID, m.set.Self.Life, text, m.guard.lives})
 }
 
 // Saved takes in that the last batch is kept.
@@ -448,18 +448,18 @@
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		if err := m.storage.ApplySnapshot(rd.Snapshot); err != nil {
-			return fmt.Errorf("council: snapshot: %w", err)
+			return fmt.Errorf("consensus: snapshot: %w", err)
 		}
 		if err := m.restore(rd.Snapshot); err != nil {
 			return err
 		}
 	}
 	if err := m.storage.Append(rd.Entries); err != nil {
-		return fmt.Errorf("council: entries: %w", err)
+		return fmt.Errorf("consensus: entries: %w", err)
 	}
 	if !raft.IsEmptyHardState(rd.HardState) {
 		if err := m.storage.SetHardState(rd.HardState); err != nil {
-			return fmt.Errorf("council: state: %w", err)
+			return fmt.Errorf("consensus: state: %w", err)
 		}
 	}
 	for _, msg := range rd.Messages {
@@ -471,7 +471,7 @@
 			text, err = m.seal(text)
 		}
 		if err != nil {
-			return fmt.Errorf("council: message to %x: %w", msg.To, err)
+			return fmt.Errorf("consensus: message to %x: %w", msg.To, err)
 		}
 		m.out.Send = append(m.out.Send, Message{msg.To, text})
 	}
@@ -504,7 +504,7 @@
 	}
 	var entry policy.Entry
 	if err := cbor.Unmarshal(e.Data, &entry); err != nil {
-		return fmt.Errorf("council: entry %d: %w", e.Index, err)
+		return fmt.Errorf("consensus: entry %d: %w", e.Index, err)
 	}
 	m.ledger.Apply(entry)
 	return nil
@@ -563,18 +563,18 @@
 	}
 	ledger, err := m.ledger.Encode()
 	if err != nil {
-		return nil, fmt.Errorf("council: snapshot at %d: %w", m.applied, err)
+		return nil, fmt.Errorf("consensus: snapshot at %d: %w", m.applied, err)
 	}
 	text, err := cbor.Marshal(image{Ledger: ledger, Deciders: m.names, Former: m.former})
 	if err != nil {
-		return nil, fmt.Errorf("council: snapshot at %d: %w", m.applied, err)
+		return nil, fmt.Errorf("consensus: snapshot at %d: %w", m.applied, err)
 	}
 	s, err := m.storage.CreateSnapshot(m.applied, &m.confs, text)
 	if err != nil {
-		return nil, fmt.Errorf("council: snapshot at %d: %w", m.applied, err)
+		return nil, fmt.Errorf("consensus: snapshot at %d: %w", m.applied, err)
 	}
 	if err := m.storage.Compact(m.applied); err != nil {
-		return nil, fmt.Errorf("council: entries up to %d: %w", m.applied, err)
+		return nil, fmt.Errorf("consensus: entries up to %d: %w", m.applied, err)
 	}
 	m.snapped, m.changed = m.applied, false
 	return &s, nil
--- a/internal/fleet/council/council_test.go
+++ b/internal/fleet/consensus/consensus_test.go
@@ -1,4 +1,4 @@
-package council
+package consensus
 
 import (
 	"cmp"
@@ -18,7 +18,7 @@
 	"milletramp.example/milletramp/internal/fleet/policy"
 )
 
-var plays = flag.Int("council.plays", 12, "drawn plays of TestCouncil")
+var plays = flag.Int("consensus.plays", 12, "drawn plays of TestConsensus")
 
 // fleet steps deciders, each with what it keeps, and sidecars in simulated time. Messages get lost and come late; links are cut;
 // deciders and sidecars stand still, die and return, deciders with what they kept.
@@ -91,15 +91,15 @@
 
 func (d *decider) start() {
 	d.life++
-	m, err := New(d.f.now, Settings{Self: Self{d.id, uint64(d.life)}, Founding: founding, Heard: d.heard, Terms: policy.UsualTerms, Kept: d.kept}, slog.New(slog.DiscardHandler))
+	m, err := New(d.f.now, Settings{Self: Self{d.id, uint64(d.life)}, Bootstrap: bootstrap, Heard: d.heard, Terms: policy.UsualTerms, Kept: d.kept}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		d.f.t.Fatal(err)
 	}
 	d.machine = m
 }
 
-// founding is of the deciders 1, 2 and 3.
-var founding = Founding{Deciders: map[string]uint64{"a": 1, "b": 2, "c": 3}, First: first}
+// bootstrap is of the deciders 1, 2 and 3.
+var bootstrap = Bootstrap{Deciders: map[string]uint64{"a": 1, "b": 2, "c": 3}, First: first}
 
 func (f *fleet) after(wait time.Duration, do func()) {
 	f.order++
@@ -325,9 +325,9 @@
 	}
 }
 
-// TestCouncil plays changes with three deciders by Raft under drawn faults: no two sidecars ever serve under different policies,
+// TestConsensus plays changes with three deciders by Raft under drawn faults: no two sidecars ever serve under different policies,
 // no answer is contradicted, and once the faults are over a change comes into force everywhere.
-func TestCouncil(t *testing.T) {
+func TestConsensus(t *testing.T) {
 	for seed := range uint64(*plays) {
 		f := newFleet(t, seed, 3, 4)
 		f.loss = 0.1
@@ -473,7 +473,7 @@
 			t.Errorf("%d bytes are taken", len(text))
 		}
 	}
-	if _, err := New(0, Settings{Self: Self{9, 1}, Founding: founding, Terms: policy.UsualTerms}, slog.New(slog.DiscardHandler)); err == nil {
+	if _, err := New(0, Settings{Self: Self{9, 1}, Bootstrap: bootstrap, Terms: policy.UsualTerms}, slog.New(slog.DiscardHandler)); err == nil {
 		t.Error("one that is no member begins")
 	}
 	if err := m.Propose(policy.Propose{ID: "x"}); !errors.Is(err, ErrNoLeader) {
--- a/internal/fleet/council/log.go
+++ b/internal/fleet/consensus/log.go
@@ -1,4 +1,4 @@
-package council
+package consensus
 
 import (
 	"context"
--- a/internal/fleet/disk/disk.go
+++ b/internal/fleet/disk/disk.go
@@ -1,5 +1,5 @@
-// Package disk keeps on disk what a decider must not forget: who it is, which council it is of, and its part of the council's log
-// (package council). It decides nothing.
+// Package disk keeps on disk what a decider must not forget: who it is, which consensus group it is of, and its part of the consensus group's log
+// (package consensus group). It decides nothing.
 //
 // A folder holds one file of sealed records, each a length, a sum over it, a sum over the content, and the content as CBOR. A
 // record is one batch, written and synced before anything that rests on it is told. So at most the last one can be torn: that is
@@ -7,7 +7,7 @@
 // it told others must not take part as if it knew. A file that has grown is written anew beside the old one, and takes its
 // place by its name.
 //
-// Not told apart: a file that somebody has cut at the end of a record. A folder of an earlier life is, by package council.
+// Not told apart: a file that somebody has cut at the end of a record. A folder of an earlier life is, by package consensus.
 package disk
 
 import (
@@ -27,7 +27,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/consensus"
 )
 
 const (
@@ -46,21 +46,21 @@
 
 // record is what a file is made of. The first of a file has all that held before it.
 type record struct {
-	Format   int               `cbor:"1,keyasint,omitempty"` // of the first
-	Self     *council.Self     `cbor:"2,keyasint,omitempty"`
-	Founding *council.Founding `cbor:"3,keyasint,omitempty"`
-	Heard    map[uint64]uint64 `cbor:"4,keyasint,omitempty"` // lives of others, by decider
-	State    []byte            `cbor:"5,keyasint,omitempty"`
-	Snapshot []byte            `cbor:"6,keyasint,omitempty"`
-	Entries  [][]byte          `cbor:"7,keyasint,omitempty"`
+	Format    int                  `cbor:"1,keyasint,omitempty"` // of the first
+	Self      *consensus.Self      `cbor:"2,keyasint,omitempty"`
+	Bootstrap *consensus.Bootstrap `cbor:"3,keyasint,omitempty"`
+	Heard     map[uint64]uint64    `cbor:"4,keyasint,omitempty"` // lives of others, by decider
+	State     []byte               `cbor:"5,keyasint,omitempty"`
+	Snapshot  []byte               `cbor:"6,keyasint,omitempty"`
+	Entries   [][]byte             `cbor:"7,keyasint,omitempty"`
 }
 
 // Memory is what a folder holds.
 type Memory struct {
-	Self     council.Self
-	Founding *council.Founding // nil: it is of no council yet
-	Heard    map[uint64]uint64
-	Kept     council.Kept
+	Self      consensus.Self
+	Bootstrap *consensus.Bootstrap // nil: it is of no consensus group yet
+	Heard     map[uint64]uint64
+	Kept      consensus.Kept
 }
 
 // File is what a Log needs of a file. Tests put one in its place that fails.
@@ -98,7 +98,7 @@
 
 func open(dir string, fresh uint64, create func(string) (File, error), grown int64) (l *Log, dropped int, err error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, 0, fmt.Errorf("council's folder: %w", err)
+		return nil, 0, fmt.Errorf("consensus folder: %w", err)
 	}
 	l = &Log{dir: dir, create: create, grown: grown, memory: Memory{Heard: map[uint64]uint64{}}}
 	held, err := lock(filepath.Join(dir, lockName))
@@ -143,7 +143,7 @@
 func (l *Log) files() (numbers []uint64, err error) {
 	entries, err := os.ReadDir(l.dir)
 	if err != nil {
-		return nil, fmt.Errorf("council's folder: %w", err)
+		return nil, fmt.Errorf("consensus folder: %w", err)
 	}
 	for _, e := range entries {
 		rest, ours := strings.CutPrefix(e.Name(), nameStart)
@@ -152,13 +152,13 @@
 		}
 		if strings.HasSuffix(rest, newEnd) {
 			if err := os.Remove(filepath.Join(l.dir, e.Name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
-				return nil, fmt.Errorf("council's folder: %w", err)
+				return nil, fmt.Errorf("consensus folder: %w", err)
 			}
 			continue
 		}
 		var n uint64
 		if _, err := fmt.Sscanf(rest, "%016x", &n); err != nil {
-			return nil, fmt.Errorf("council's folder: %s: no file of this program", e.Name())
+			return nil, fmt.Errorf("consensus folder: %s: no file of this program", e.Name())
 		}
 		numbers = append(numbers, n)
 	}
@@ -179,7 +179,7 @@
 func (l *Log) read(path string) (dropped int, err error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return 0, fmt.Errorf("council's folder: %w", err)
+		return 0, fmt.Errorf("consensus folder: %w", err)
 	}
 	for at := 0; at < len(text); {
 		content, size, err := next(text[at:])
@@ -237,8 +237,8 @@
 	if r.Self != nil {
 		m.Self = *r.Self
 	}
-	if r.Founding != nil {
-		m.Founding = r.Founding
+	if r.Bootstrap != nil {
+		m.Bootstrap = r.Bootstrap
 	}
 	for id, life := range r.Heard {
 		m.Heard[id] = max(m.Heard[id], life)
@@ -291,7 +291,7 @@
 
 // Keep writes a batch down. Danger: once anything has failed nothing may be kept any more: what a failed write or sync has left on
 // the disk is not known.
-func (l *Log) Keep(b council.Batch) error {
+func (l *Log) Keep(b consensus.Batch) error {
 	r, err := recordOf(b)
 	if err != nil {
 		return err
@@ -299,28 +299,28 @@
 	return l.append(r)
 }
 
-// Found writes down which council the decider is of.
-func (l *Log) Found(f council.Founding) error { return l.append(record{Founding: &f}) }
+// Found writes down which consensus group the decider is of.
+func (l *Log) Found(f consensus.Bootstrap) error { return l.append(record{Bootstrap: &f}) }
 
 // Compact writes down a snapshot, which takes the place of the entries up to it.
-func (l *Log) Compact(s raftpb.Snapshot) error { return l.Keep(council.Batch{Snapshot: &s}) }
+func (l *Log) Compact(s raftpb.Snapshot) error { return l.Keep(consensus.Batch{Snapshot: &s}) }
 
-func recordOf(b council.Batch) (r record, err error) {
+func recordOf(b consensus.Batch) (r record, err error) {
 	r.Heard = b.Heard
 	if b.State != nil {
 		if r.State, err = b.State.Marshal(); err != nil {
-			return r, fmt.Errorf("council's folder: state: %w", err)
+			return r, fmt.Errorf("consensus folder: state: %w", err)
 		}
 	}
 	if b.Snapshot != nil {
 		if r.Snapshot, err = b.Snapshot.Marshal(); err != nil {
-			return r, fmt.Errorf("council's folder: snapshot: %w", err)
+			return r, fmt.Errorf("consensus folder: snapshot: %w", err)
 		}
 	}
 	for _, e := range b.Entries {
 		text, err := e.Marshal()
 		if err != nil {
-			return r, fmt.Errorf("council's folder: entry %d: %w", e.Index, err)
+			return r, fmt.Errorf("consensus folder: entry %d: %w", e.Index, err)
 		}
 		r.Entries = append(r.Entries, text)
 	}
@@ -330,10 +330,10 @@
 func seal(r record) ([]byte, error) {
 	content, err := cbor.Marshal(r)
 	if err != nil {
-		return nil, fmt.Errorf("council's folder: %w", err)
+		return nil, fmt.Errorf("consensus folder: %w", err)
 	}
 	if len(content) > mostRecord {
-		return nil, fmt.Errorf("council's folder: a record of %d bytes, %d are allowed", len(content), mostRecord)
+		return nil, fmt.Errorf("consensus folder: a record of %d bytes, %d are allowed", len(content), mostRecord)
 	}
 	text := make([]byte, headBytes, headBytes+len(content))
 	binary.LittleEndian.PutUint32(text, uint32(len(content)))
@@ -356,12 +356,12 @@
 		err = l.file.Sync()
 	}
 	if err != nil {
-		l.broken = fmt.Errorf("council's folder %s, nothing is kept any more: %w", l.dir, err)
+		l.broken = fmt.Errorf("consensus folder %s, nothing is kept any more: %w", l.dir, err)
 		return l.broken
 	}
 	l.size += int64(len(text))
 	if err := l.memory.take(r); err != nil {
-		l.broken = fmt.Errorf("council's folder %s: %w", l.dir, err)
+		l.broken = fmt.Errorf("consensus folder %s: %w", l.dir, err)
 		return l.broken
 	}
 	if l.size > l.grown && l.size > 2*l.began {
@@ -378,11 +378,11 @@
 // rewrite begins a further file with all that is held. Whatever fails, the former one is as it was.
 func (l *Log) rewrite() error {
 	m := l.memory
-	r, err := recordOf(council.Batch{State: &m.Kept.State, Snapshot: &m.Kept.Snapshot, Entries: m.Kept.Entries})
+	r, err := recordOf(consensus.Batch{State: &m.Kept.State, Snapshot: &m.Kept.Snapshot, Entries: m.Kept.Entries})
 	if err != nil {
 		return err
 	}
-	r.Format, r.Self, r.Founding, r.Heard = format, &m.Self, m.Founding, m.Heard
+	r.Format, r.Self, r.Bootstrap, r.Heard = format, &m.Self, m.Bootstrap, m.Heard
 	text, err := seal(r)
 	if err != nil {
 		return err
@@ -390,7 +390,7 @@
 	path := l.path(l.number + 1)
 	f, err := l.create(path + newEnd)
 	if err != nil {
-		return fmt.Errorf("council's folder: %w", err)
+		return fmt.Errorf("consensus folder: %w", err)
 	}
 	if _, err = f.Write(text); err == nil {
 		err = f.Sync()
@@ -402,7 +402,7 @@
 		err = syncFolder(l.dir)
 	}
 	if err != nil {
-		return errors.Join(fmt.Errorf("council's folder: %w", err), f.Close())
+		return errors.Join(fmt.Errorf("consensus folder: %w", err), f.Close())
 	}
 	if l.file != nil {
 		_ = l.file.Close() // it was synced, and nothing more is written to it
@@ -424,7 +424,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.broken == nil {
-		l.broken = errors.New("council's folder: closed")
+		l.broken = errors.New("consensus folder: closed")
 	}
 	return errors.Join(l.file.Close(), l.lock.Close())
 }
--- a/internal/fleet/disk/disk_test.go
+++ b/internal/fleet/disk/disk_test.go
@@ -13,10 +13,10 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"pgregory.net/rapid"
 
-	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/consensus"
 )
 
-var founding = council.Founding{Deciders: map[string]uint64{"a": 1, "b": 2, "c": 3}, First: []byte("first")}
+var bootstrap = consensus.Bootstrap{Deciders: map[string]uint64{"a": 1, "b": 2, "c": 3}, First: []byte("first")}
 
 // begin opens a folder whose file is written anew once it has so many bytes.
 func begin(t rapid.TB, dir string, grown int64) (*Log, int) {
@@ -44,11 +44,11 @@
 }
 
 // batches are a decider's, with entries that are overwritten and a snapshot.
-func batches() []council.Batch {
+func batches() []consensus.Batch {
 	state := func(term, vote, commit uint64) *raftpb.HardState {
 		return &raftpb.HardState{Term: term, Vote: vote, Commit: commit}
 	}
-	return []council.Batch{
+	return []consensus.Batch{
 		{State: state(1, 2, 0), Heard: map[uint64]uint64{2: 4}},
 		{State: state(1, 2, 1), Entries: entries(2, 9, 1)},
 		{State: state(2, 3, 4), Entries: entries(6, 7, 2)},
@@ -81,7 +81,7 @@
 func written(t rapid.TB, dir string) (text []byte, sizes []int64, held []Memory) {
 	t.Helper()
 	l, _ := begin(t, dir, usualGrown)
-	if err := l.Found(founding); err != nil {
+	if err := l.Found(bootstrap); err != nil {
 		t.Fatal(err)
 	}
 	note := func() { sizes, held = append(sizes, l.size), append(held, l.Memory()) }
@@ -119,7 +119,7 @@
 			if last < 0 {
 				if err == nil {
 					last, err = 0, l.Close() // of what it began with there is no size
-					if got := l.Memory(); got.Founding != nil || got.Self.ID != 1 || err != nil {
+					if got := l.Memory(); got.Bootstrap != nil || got.Self.ID != 1 || err != nil {
 						t.Errorf("cut at %d: %+v, error %v", cut, got, err)
 					}
 				} else if !errors.Is(err, ErrSpoilt) {
@@ -136,7 +136,7 @@
 			if got := l.Memory(); !same(got, held[last]) || got.Self.Life != 2 {
 				t.Errorf("cut at %d: %+v, want %+v", cut, got, held[last])
 			}
-			if err := l.Keep(council.Batch{State: &raftpb.HardState{Term: 99}}); err != nil {
+			if err := l.Keep(consensus.Batch{State: &raftpb.HardState{Term: 99}}); err != nil {
 				t.Error(err)
 			}
 			done(t, l)
@@ -246,7 +246,7 @@
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			first, _ := model.FirstIndex()
 			last, _ := model.LastIndex()
-			var b council.Batch
+			var b consensus.Batch
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
 				term += uint64(rapid.IntRange(0, 2).Draw(t, "terms"))
@@ -310,11 +310,11 @@
 	if _, _, err := Open(dir, 7); err == nil {
 		t.Error("two processes have one folder")
 	}
-	if err := l.Found(founding); err != nil {
+	if err := l.Found(bootstrap); err != nil {
 		t.Fatal(err)
 	}
 	done(t, l)
-	if err := l.Found(founding); err == nil {
+	if err := l.Found(bootstrap); err == nil {
 		t.Error("a closed folder keeps")
 	}
 	former, err := os.ReadFile(only(t, dir))
@@ -325,7 +325,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if m := l.Memory(); m.Self != (council.Self{ID: 1, Life: 2}) || m.Founding.Council() != founding.Council() {
+	if m := l.Memory(); m.Self != (consensus.Self{ID: 1, Life: 2}) || m.Bootstrap.Group() != bootstrap.Group() {
 		t.Errorf("%+v", m)
 	}
 	if err := l.Keep(batches()[0]); err != nil {
--- a/internal/fleet/disk/lock.go
+++ b/internal/fleet/disk/lock.go
@@ -15,10 +15,10 @@
 func lock(path string) (*os.File, error) {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("council's folder: %w", err)
+		return nil, fmt.Errorf("consensus folder: %w", err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		return nil, errors.Join(fmt.Errorf("council's folder: %s: %w: %w", path, ErrHeld, err), f.Close())
+		return nil, errors.Join(fmt.Errorf("consensus folder: %s: %w: %w", path, ErrHeld, err), f.Close())
 	}
 	return f, nil
 }
--- a/internal/fleet/policyagent/agent.go
+++ b/internal/fleet/policyagent/agent.go
@@ -15,7 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/consensus"
 	"milletramp.example/milletramp/internal/fleet/disk"
 	"milletramp.example/milletramp/internal/fleet/policy"
 	"milletramp.example/milletramp/internal/fleet/raftnode"
@@ -79,7 +79,7 @@
 	// Of the Raft node's goroutine.
 	node    *raftnode.Node // nil: none, or its folder is not open yet
 	folder  *disk.Log
-	waiting map[uint64]chan council.Answer
+	waiting map[uint64]chan consensus.Answer
 	tokens  uint64
 	events  chan func(now raftnode.Time)
 	queues  map[string]chan []byte
@@ -100,7 +100,7 @@
 	if fault := set.Check(1, set.First); fault != "" {
 		return nil, fmt.Errorf("policy: the first one: %s", fault)
 	}
-	c := &Agent{set: set, peers: peers, decides: decides, names: set.Deciders, count: len(set.Deciders), log: log.With("part", "policy"), origin: time.Now(), waiting: map[uint64]chan council.Answer{},
+	c := &Agent{set: set, peers: peers, decides: decides, names: set.Deciders, count: len(set.Deciders), log: log.With("part", "policy"), origin: time.Now(), waiting: map[uint64]chan consensus.Answer{},
 		holder: policy.NewHolder(set.Name, set.Life, set.Terms), events: make(chan func(raftnode.Time), mostEvents), queues: map[string]chan []byte{}}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	if decides {
@@ -178,14 +178,14 @@
 
 // State is what a decider holds.
 type State struct {
-	Decider  string           `cbor:"1,keyasint" json:"decider"`
-	Leader   string           `cbor:"2,keyasint" json:"leader"`
-	Broken   string           `cbor:"3,keyasint" json:"takes_part_no_more,omitempty"`
-	Founded  bool             `cbor:"4,keyasint" json:"founded"`
-	Number   uint64           `cbor:"5,keyasint" json:"in_force"`
-	Digest   string           `cbor:"6,keyasint" json:"digest"`
-	Pending  *policy.Outcome  `cbor:"7,keyasint" json:"under_way,omitempty"`
-	Outcomes []policy.Outcome `cbor:"8,keyasint" json:"changes"`
+	Decider      string           `cbor:"1,keyasint" json:"decider"`
+	Leader       string           `cbor:"2,keyasint" json:"leader"`
+	Broken       string           `cbor:"3,keyasint" json:"takes_part_no_more,omitempty"`
+	Bootstrapped bool             `cbor:"4,keyasint" json:"founded"`
+	Number       uint64           `cbor:"5,keyasint" json:"in_force"`
+	Digest       string           `cbor:"6,keyasint" json:"digest"`
+	Pending      *policy.Outcome  `cbor:"7,keyasint" json:"under_way,omitempty"`
+	Outcomes     []policy.Outcome `cbor:"8,keyasint" json:"changes"`
 	// Waiting are the sidecars that the change under way waits for, on the one that leads, and Seconds how long at most.
 	Waiting []string `cbor:"9,keyasint,omitempty" json:"waits_for,omitempty"`
 	Seconds float64  `cbor:"10,keyasint,omitempty" json:"waits_s,omitempty"`
@@ -214,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
 	done := make(chan struct{})
-	var asked chan council.Answer
+	var asked chan consensus.Answer
 	got := &reply{} // the Raft node's goroutine may come to it after this call has given up
 	do := func(now raftnode.Time) {
 		defer close(done)
@@ -231,7 +231,7 @@
 			}
 		case m.Ask != nil:
 			c.tokens++
-			asked = make(chan council.Answer, 1)
+			asked = make(chan consensus.Answer, 1)
 			c.waiting[c.tokens] = asked
 			c.node.Ask(now, c.tokens, *m.Ask)
 			got.Deciders, _ = c.node.Deciders()
@@ -246,7 +246,7 @@
 		case m.State:
 			got.State = c.state(now, l)
 		case l == nil:
-			got.Fault = "no council yet"
+			got.Fault = "no consensus group yet"
 		case m.Get > 0:
 			d, known := l.Document(m.Get)
 			if !known {
@@ -289,7 +289,7 @@
 }
 
 func (c *Agent) state(now raftnode.Time, l *policy.Ledger) *State {
-	s := &State{Decider: c.set.Name, Leader: c.node.Leader(), Founded: l != nil, Candidates: c.node.Waits(now), LeftOut: c.node.LeftOut()}
+	s := &State{Decider: c.set.Name, Leader: c.node.Leader(), Bootstrapped: l != nil, Candidates: c.node.Waits(now), LeftOut: c.node.LeftOut()}
 	s.Deciders, s.Settled = c.node.Deciders()
 	if err := c.node.Err(); err != nil {
 		s.Broken = err.Error()
@@ -315,7 +315,7 @@
 		return
 	}
 	defer c.folder.Close()
-	tick := time.NewTicker(council.TickEvery)
+	tick := time.NewTicker(consensus.TickEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -342,7 +342,7 @@
 		if c.node.Err() != nil {
 			for token, asked := range c.waiting {
 				delete(c.waiting, token)
-				asked <- council.Answer{Token: token, Err: council.ErrNoLeader}
+				asked <- consensus.Answer{Token: token, Err: consensus.ErrNoLeader}
 			}
 		}
 	}
@@ -601,7 +601,7 @@
 		n := number
 		if n == 0 {
 			r, err := c.call(ctx, whom, message{State: true})
-			if err != nil || r.State == nil || !r.State.Founded {
+			if err != nil || r.State == nil || !r.State.Bootstrapped {
 				faults = append(faults, fmt.Errorf("%s: %s %w", whom, r.Fault, err))
 				continue
 			}
--- a/internal/fleet/raftnode/node.go
+++ b/internal/fleet/raftnode/node.go
@@ -1,5 +1,5 @@
-// Package raftnode is a decider's place in the council: it finds or founds the council (council.Founder), runs its part of it
-// (council.Machine), and has its folder (package disk) keep whatever must outlast this life before anything that rests on it is told. It
+// Package raftnode is a decider's place in the consensus group: it finds or bootstraps the consensus group (consensus.Bootstrapper), runs its part of it
+// (consensus.Machine), and has its folder (package disk) keep whatever must outlast this life before anything that rests on it is told. It
 // is stepped by one goroutine; what it waits for is the folder alone.
 package raftnode
 
@@ -14,7 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/raft/v3/raftpb"
 
-	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/consensus"
 	"milletramp.example/milletramp/internal/fleet/disk"
 	"milletramp.example/milletramp/internal/fleet/policy"
 )
@@ -23,7 +23,7 @@
 type Time = time.Duration
 
 const (
-	helloEvery = 10 * council.TickEvery
+	helloEvery = 10 * consensus.TickEvery
 	waitsFor   = 4 * helloEvery // one that waits for a place is heard of within this
 	mostText   = 8 << 20        // bytes of a message: entries and a snapshot
 	mostName   = 64             // bytes of a decider's
@@ -32,8 +32,8 @@
 // Folder keeps what outlasts a life. *disk.Log is one.
 type Folder interface {
 	Memory() disk.Memory
-	Found(council.Founding) error
-	Keep(council.Batch) error
+	Found(consensus.Bootstrap) error
+	Keep(consensus.Batch) error
 	Compact(raftpb.Snapshot) error
 }
 
@@ -47,8 +47,8 @@
 
 // packet is what Raft nodes send each other: exactly one of its fields is set.
 type packet struct {
-	Hello  *council.Hello `cbor:"1,keyasint,omitempty"`
-	Sealed []byte         `cbor:"2,keyasint,omitempty"`
+	Hello  *consensus.Hello `cbor:"1,keyasint,omitempty"`
+	Sealed []byte           `cbor:"2,keyasint,omitempty"`
 }
 
 // Message is for another decider.
@@ -60,26 +60,26 @@
 // Actions are what is to be done after an event.
 type Actions struct {
 	Send    []Message
-	Answers []council.Answer
+	Answers []consensus.Answer
 }
 
 // Node is one decider's.
 type Node struct {
-	set     Settings
-	folder  Folder
-	log     *slog.Logger
-	founder *council.Founder
-	machine *council.Machine // nil: no council yet
-	names   map[uint64]string
-	hello   Time
-	leftOut bool     // there is a council, without this decider
-	others  []string // to whom hello is said: those of the file, and those that a council told of
-	waits   map[string]waiting
-	broken  error
-	out     Actions
+	set          Settings
+	folder       Folder
+	log          *slog.Logger
+	bootstrapper *consensus.Bootstrapper
+	machine      *consensus.Machine // nil: no consensus group yet
+	names        map[uint64]string
+	hello        Time
+	leftOut      bool     // there is a consensus group, without this decider
+	others       []string // to whom hello is said: those of the file, and those that a consensus group told of
+	waits        map[string]waiting
+	broken       error
+	out          Actions
 }
 
-// waiting is one that is of no council and says hello, as it might take the place of a decider that is gone.
+// waiting is one that is of no consensus group and says hello, as it might take the place of a decider that is gone.
 type waiting struct {
 	id uint64
 	at Time
@@ -88,20 +88,20 @@
 // New returns the Raft node of a life that begins now.
 func New(now Time, set Settings, folder Folder, log *slog.Logger) (*Node, error) {
 	m := folder.Memory()
-	f, err := council.NewFounder(set.Name, m.Self, set.Named, set.First, m.Founding)
+	f, err := consensus.NewBootstrapper(set.Name, m.Self, set.Named, set.First, m.Bootstrap)
 	if err != nil {
 		return nil, err
 	}
-	s := &Node{set: set, folder: folder, log: log, founder: f, names: map[uint64]string{}, waits: map[string]waiting{}, others: set.Named}
-	if m.Founding != nil {
+	s := &Node{set: set, folder: folder, log: log, bootstrapper: f, names: map[uint64]string{}, waits: map[string]waiting{}, others: set.Named}
+	if m.Bootstrap != nil {
 		return s, s.sit(now, m)
 	}
 	return s, nil
 }
 
-// sit takes part in the council that the folder names.
+// sit takes part in the consensus group that the folder names.
 func (s *Node) sit(now Time, m disk.Memory) (err error) {
-	s.machine, err = council.New(now, council.Settings{Self: m.Self, Founding: *m.Founding, Heard: m.Heard, Terms: s.set.Terms, Kept: m.Kept}, s.log)
+	s.machine, err = consensus.New(now, consensus.Settings{Self: m.Self, Bootstrap: *m.Bootstrap, Heard: m.Heard, Terms: s.set.Terms, Kept: m.Kept}, s.log)
 	if err == nil {
 		s.names = s.machine.Named()
 	}
@@ -131,7 +131,7 @@
 // Replace has one that waits for a place take that of a decider. Which folder it has is what it said itself.
 func (s *Node) Replace(now Time, out, in string) error {
 	if s.machine == nil || s.broken != nil {
-		return council.ErrNoLeader
+		return consensus.ErrNoLeader
 	}
 	w, known := s.waits[in]
 	if !known || now-w.at >= waitsFor {
@@ -145,10 +145,10 @@
 // Err says why this decider takes part no more; nil: it does. Another life may, where its folder is whole.
 func (s *Node) Err() error { return s.broken }
 
-// LeftOut tells whether there is a council that this decider waits for a place in.
+// LeftOut tells whether there is a consensus group that this decider waits for a place in.
 func (s *Node) LeftOut() bool { return s.leftOut && s.machine == nil }
 
-// Ledger is what the log comes to here, which may be old; nil: there is no council yet.
+// Ledger is what the log comes to here, which may be old; nil: there is no consensus group yet.
 func (s *Node) Ledger() *policy.Ledger {
 	if s.machine == nil {
 		return nil
@@ -179,13 +179,13 @@
 	return out
 }
 
-// Tick has the Raft node do what is due. It is to be called each council.TickEvery.
+// Tick has the Raft node do what is due. It is to be called each consensus.TickEvery.
 func (s *Node) Tick(now Time) {
 	switch {
 	case s.broken != nil:
 	case s.machine == nil && now >= s.hello:
 		s.hello = now + helloEvery
-		h := s.founder.Hello()
+		h := s.bootstrapper.Hello()
 		for _, name := range s.others {
 			if name != s.set.Name {
 				s.send(name, packet{Hello: &h})
@@ -213,10 +213,10 @@
 	case p.Hello != nil:
 		return s.meet(now, *p.Hello)
 	case s.machine == nil:
-		return nil // of a council that this decider has yet to hear of
+		return nil // of a consensus group that this decider has yet to hear of
 	}
 	err := s.machine.Step(p.Sealed)
-	if errors.Is(err, council.ErrForgot) {
+	if errors.Is(err, consensus.ErrForgot) {
 		s.fail(err)
 		return nil
 	}
@@ -224,13 +224,13 @@
 	return err
 }
 
-// meet takes in a hello, and answers one that is of no council yet.
-func (s *Node) meet(now Time, h council.Hello) error {
+// meet takes in a hello, and answers one that is of no consensus group yet.
+func (s *Node) meet(now Time, h consensus.Hello) error {
 	if s.machine != nil {
 		return s.greet(now, h)
 	}
-	err := s.founder.Heard(now, h)
-	if errors.Is(err, council.ErrLeftOut) {
+	err := s.bootstrapper.Heard(now, h)
+	if errors.Is(err, consensus.ErrLeftOut) {
 		// Danger: who leads may be in no file of this one's, as it is that one's place that it is to take.
 		s.others = s.set.Named
 		for _, name := range slices.Sorted(maps.Keys(h.Deciders)) {
@@ -244,19 +244,19 @@
 		}
 		return nil
 	}
-	if f := s.founder.Founding(); f != nil && s.machine == nil {
-		// Danger: what the others are told of a council they count on.
+	if f := s.bootstrapper.Bootstrap(); f != nil && s.machine == nil {
+		// Danger: what the others are told of a consensus group they count on.
 		if err := s.folder.Found(*f); err != nil {
 			s.fail(err)
 			return nil
 		}
-		s.log.Info("of a council", "council", f.String())
+		s.log.Info("of a consensus group", "group", f.String())
 		if err := s.sit(now, s.folder.Memory()); err != nil {
 			s.fail(err)
 			return nil
 		}
 		s.settle(now)
-		if h.Founding == nil {
+		if h.Bootstrap == nil {
 			return s.greet(now, h)
 		}
 	}
@@ -266,9 +266,9 @@
 // mostWaits is how many may wait for a place at a time.
 const mostWaits = 16
 
-// greet answers one that is of no council with what this one is, and notes that it is there.
-func (s *Node) greet(now Time, h council.Hello) error {
-	if h.Founding != nil || h.ID == 0 || h.Name == "" || len(h.Name) > mostName {
+// greet answers one that is of no consensus group with what this one is, and notes that it is there.
+func (s *Node) greet(now Time, h consensus.Hello) error {
+	if h.Bootstrap != nil || h.ID == 0 || h.Name == "" || len(h.Name) > mostName {
 		return nil
 	}
 	deciders, _ := s.machine.Deciders()
@@ -279,7 +279,7 @@
 		}
 		s.waits[h.Name] = waiting{h.ID, now}
 	}
-	mine := s.founder.Hello()
+	mine := s.bootstrapper.Hello()
 	mine.Deciders = deciders
 	s.send(h.Name, packet{Hello: &mine})
 	return nil
@@ -288,7 +288,7 @@
 // Ask takes in a sidecar's question. The answer follows under its token.
 func (s *Node) Ask(now Time, token uint64, q policy.Question) {
 	if s.machine == nil || s.broken != nil {
-		s.out.Answers = append(s.out.Answers, council.Answer{Token: token, Err: council.ErrNoLeader})
+		s.out.Answers = append(s.out.Answers, consensus.Answer{Token: token, Err: consensus.ErrNoLeader})
 		return
 	}
 	s.machine.Ask(now, token, q)
@@ -298,7 +298,7 @@
 // Propose asks for a change. What becomes of it stands in the ledger under its id.
 func (s *Node) Propose(now Time, p policy.Propose) error {
 	if s.machine == nil || s.broken != nil {
-		return council.ErrNoLeader
+		return consensus.ErrNoLeader
 	}
 	err := s.machine.Propose(p)
 	s.settle(now)
--- a/internal/fleet/raftnode/node_test.go
+++ b/internal/fleet/raftnode/node_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"go.etcd.io/raft/v3/raftpb"
-	"milletramp.example/milletramp/internal/fleet/council"
+	"milletramp.example/milletramp/internal/fleet/consensus"
 	"milletramp.example/milletramp/internal/fleet/disk"
 	"milletramp.example/milletramp/internal/fleet/policy"
 )
@@ -33,7 +33,7 @@
 	places  map[string]*place
 	order   []string // of their names
 	late    []func()
-	answers map[uint64]council.Answer
+	answers map[uint64]consensus.Answer
 	ended   map[string]policy.Outcome // as first seen: refused or in force
 	id      uint64
 }
@@ -62,14 +62,14 @@
 	return err
 }
 
-func (k killing) Found(f council.Founding) error    { return k.done(k.Log.Found(f)) }
-func (k killing) Keep(b council.Batch) error        { return k.done(k.Log.Keep(b)) }
+func (k killing) Found(f consensus.Bootstrap) error { return k.done(k.Log.Found(f)) }
+func (k killing) Keep(b consensus.Batch) error      { return k.done(k.Log.Keep(b)) }
 func (k killing) Compact(s raftpb.Snapshot) error   { return k.done(k.Log.Compact(s)) }
 func (w *table) folder(name string) (folder string) { return filepath.Join(w.dir, name) }
 
 func newTable(t testing.TB, dir string, seed uint64) *table {
 	w := &table{t: t, rng: rand.New(rand.NewPCG(seed, 0x7ab1e)), dir: dir, now: time.Hour, places: map[string]*place{},
-		answers: map[uint64]council.Answer{}, ended: map[string]policy.Outcome{}}
+		answers: map[uint64]consensus.Answer{}, ended: map[string]policy.Outcome{}}
 	for _, name := range names {
 		w.add(name, names)
 	}
@@ -164,7 +164,7 @@
 	for _, m := range out.Send {
 		deliver := func() {
 			w.run(w.places[m.To], func(s *Node) {
-				// What former lives and other councils have sent is still on its way.
+				// What former lives and other consensus groups have sent is still on its way.
 				_ = s.Receive(w.now, m.Text)
 			})
 		}
@@ -183,7 +183,7 @@
 
 // step is a tick of all.
 func (w *table) step() {
-	w.now += council.TickEvery
+	w.now += consensus.TickEvery
 	for _, name := range w.order {
 		w.run(w.places[name], func(s *Node) { s.Tick(w.now) })
 	}
@@ -248,7 +248,7 @@
 }
 
 // TestKilledAnywhere has three deciders on disk be killed at any moment, behind any write: no answer that anybody has seen is ever
-// contradicted, they are of one council, and once the faults are over changes come into force.
+// contradicted, they are of one consensus group, and once the faults are over changes come into force.
 func TestKilledAnywhere(t *testing.T) {
 	for seed := range uint64(*plays) {
 		w := newTable(t, t.TempDir(), seed)
@@ -277,18 +277,18 @@
 		w.steps(250)
 		id := w.propose()
 		w.steps(200)
-		councils := map[uint64]bool{}
+		groups := map[uint64]bool{}
 		for _, p := range w.places {
 			if p.node.Err() != nil || p.node.Ledger() == nil {
 				t.Fatalf("seed %d: %s: %v, ledger %v", seed, p.name, p.node.Err(), p.node.Ledger())
 			}
-			councils[p.node.founder.Founding().Council()] = true
+			groups[p.node.bootstrapper.Bootstrap().Group()] = true
 			if o := p.node.Ledger().Outcome(id); id == "" || o.State != policy.InForce {
 				t.Errorf("seed %d: %s: the last change %q is %v (%s)", seed, p.name, id, o.State, o.Reason)
 			}
 		}
-		if len(councils) != 1 {
-			t.Errorf("seed %d: %d councils", seed, len(councils))
+		if len(groups) != 1 {
+			t.Errorf("seed %d: %d groups", seed, len(groups))
 		}
 		w.end()
 	}
@@ -401,7 +401,7 @@
 	}
 	w.steps(200)
 	w.changes("without who led")
-	if err := w.places[led].node.Err(); !errors.Is(err, council.ErrReplaced) {
+	if err := w.places[led].node.Err(); !errors.Is(err, consensus.ErrReplaced) {
 		t.Errorf("%s, which was replaced: %v", led, err)
 	}
 }
@@ -482,7 +482,7 @@
 		w.start(p)
 	}
 	rubbish := [][]byte{nil, {1}, []byte("who is there"), make([]byte, 5000), make([]byte, mostText+1)}
-	for range 2 { // before there is a council, and in it
+	for range 2 { // before there is a consensus group, and in it
 		for _, text := range rubbish {
 			if err := w.places["a"].node.Receive(w.now, text); err == nil {
 				t.Errorf("%d bytes are taken", len(text))
@@ -491,6 +491,6 @@
 		w.steps(100)
 	}
 	if err := w.places["a"].node.Err(); err != nil || w.propose() == "" {
-		t.Errorf("the council does not go on: %v", err)
+		t.Errorf("the group does not go on: %v", err)
 	}
 }
--- a/internal/lab/fleet/referee/referee.go
+++ b/internal/lab/fleet/referee/referee.go
@@ -112,14 +112,14 @@
 
 // The rules.
 const (
-	Equal       = "copies equal"
-	Remembered  = "nothing acknowledged forgotten"
-	Resurrected = "nothing resurrected"
-	Owned       = "rows written by their owners alone"
-	Obeyed      = "nothing new to a server out by hand"
-	Learnt      = "ready only with what the fleet holds"
-	Known       = "silent servers known to all"
-	Founded     = "no doubt that lasts without silence"
+	Equal        = "copies equal"
+	Remembered   = "nothing acknowledged forgotten"
+	Resurrected  = "nothing resurrected"
+	Owned        = "rows written by their owners alone"
+	Obeyed       = "nothing new to a server out by hand"
+	Learnt       = "ready only with what the fleet holds"
+	Known        = "silent servers known to all"
+	Bootstrapped = "no doubt that lasts without silence"
 )
 
 // Judge returns the breaches of a record, the earliest of each rule and place.
@@ -131,7 +131,7 @@
 	breaches = append(breaches, r.obeyed()...)
 	breaches = append(breaches, r.learnt()...)
 	breaches = append(breaches, r.known()...)
-	breaches = append(breaches, r.founded()...)
+	breaches = append(breaches, r.bootstrapped()...)
 	return breaches
 }
 
@@ -334,10 +334,10 @@
 	return is
 }
 
-// founded: no sidecar goes on doubting a server that has not been silent for some time. One so slow that sidecars give up all that they
+// bootstrapped: no sidecar goes on doubting a server that has not been silent for some time. One so slow that sidecars give up all that they
 // send it is silent as far as any of them can know: that some have tried of late, and that it has answered nobody since the doubt
 // began, is what such a doubt rests on.
-func (r Record) founded() (breaches []Breach) {
+func (r Record) bootstrapped() (breaches []Breach) {
 	type place struct{ sidecar, server string }
 	said := map[place]bool{}
 	for _, s := range r.Shows {
@@ -358,7 +358,7 @@
 			}
 			if answered || !tried {
 				said[p] = true
-				breaches = append(breaches, Breach{Founded, s.At, fmt.Sprintf("%s has doubted server %s since %v; it was tried without an answer %v, and has answered since %v", s.Sidecar, server, begun, tried, answered)})
+				breaches = append(breaches, Breach{Bootstrapped, s.At, fmt.Sprintf("%s has doubted server %s since %v; it was tried without an answer %v, and has answered since %v", s.Sidecar, server, begun, tried, answered)})
 			}
 		}
 	}
--- a/internal/lab/fleet/referee/referee_test.go
+++ b/internal/lab/fleet/referee/referee_test.go
@@ -80,8 +80,8 @@
 			r.Sends[1].At += time.Minute
 			r.Could = func(Ack, string, time.Duration) (time.Duration, bool) { return 0, false }
 		}},
-		{"a doubt that lasts and that nobody tries", Founded, doubt(7*time.Second, false)},
-		{"a doubt that outlasts an answer", Founded, doubt(7*time.Second, true, End{5 * time.Second, "b", "r", true})},
+		{"a doubt that lasts and that nobody tries", Bootstrapped, doubt(7*time.Second, false)},
+		{"a doubt that outlasts an answer", Bootstrapped, doubt(7*time.Second, true, End{5 * time.Second, "b", "r", true})},
 		{"one that began anew since the answer", "", doubt(5*time.Second, true, End{5 * time.Second, "b", "r", true})},
 		{"one of which all that was sent was given up", "", doubt(7*time.Second, true)},
 		{"one that is given up, behind an answer that is too young to be known", "", doubt(7*time.Second, true, End{8500 * time.Millisecond, "b", "r", true})},
