State invariants of the sidecar's comments without a prefix

Need: "Danger:" before each reason is a withdrawn style; the reason stays.

No line of code is changed.

--- a/internal/console/callers.go
+++ b/internal/console/callers.go
@@ -7,7 +7,7 @@
 )
 
 // callers is a listener that bounds the connections held. When all are taken, the one that has been held for the
-// longest without a whole call is closed. Danger: callers that send nothing would keep the staff out.
+// longest without a whole call is closed. Callers that send nothing would keep the staff out.
 type callers struct {
 	net.Listener
 	most int
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -115,7 +115,7 @@
 	return nil
 }
 
-// Close takes no more calls, has those that are whole be answered, and ends the others. Danger: a process that ends in an upgrade
+// Close takes no more calls, has those that are whole be answered, and ends the others. A process that ends in an upgrade
 // has taken what the staff said of a server; were its answer cut off, nobody could know.
 func (s *Server) Close() error {
 	s.closing.Store(true)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -118,7 +118,7 @@
 	if err := os.MkdirAll(m.dir, 0o700); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	// Danger: another process that finds the file before its lock takes it for a dead one's. So it gets its name last.
+	// Another process that finds the file before its lock takes it for a dead one's. So it gets its name last.
 	held, err := os.OpenFile(m.file(".new"), os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -19,7 +19,7 @@
 const (
 	mostAnswer  = 64 << 20 // bytes that an answer may say it has; 32 MB are agreed on
 	mostInterim = 8        // 1xx answers ahead of one
-	// holdUntold is how long an answer whose length is not told is held from its first byte on. Danger: passed on sooner, one
+	// holdUntold is how long an answer whose length is not told is held from its first byte on. Passed on sooner, one
 	// that stops is not made good by a repeat; later, a long one is late.
 	holdUntold = 150 * time.Millisecond
 )
@@ -35,7 +35,7 @@
 // connection can have another request. It reads strictly: http.ReadResponse lets a length pass that is given twice or
 // beside chunks, and does not tell a body that has no length from one that was cut off.
 func (c *serverConn) answer() (r reply, clean bool, err error) {
-	c.limit.N = mostHeader // Danger: a head that never ends.
+	c.limit.N = mostHeader // or a head that never ends would be read on
 	status, header, err := c.head()
 	for n := 0; err == nil && status/100 == 1; n++ {
 		if status == http.StatusSwitchingProtocols || n == mostInterim {
@@ -114,7 +114,7 @@
 	case len(lengths) == 0 && len(codings) == 1 && strings.EqualFold(codings[0], "chunked"):
 		b.chunks = &chunks{}
 	case len(lengths) == 0 && len(codings) == 0 && strings.EqualFold(header.Get("Connection"), "close"):
-		// Danger: a body that ends with its connection may have been cut off anywhere. It is believed where the server
+		// A body that ends with its connection may have been cut off anywhere. It is believed where the server
 		// has said that the connection ends, and then ends it in order.
 	default:
 		return nil, nil, spoilt("lengths %q, codings %q", lengths, codings)
--- a/internal/sidecar/budget.go
+++ b/internal/sidecar/budget.go
@@ -6,7 +6,7 @@
 	"milletramp.example/milletramp/internal/console"
 )
 
-// budget shares out the descriptors that the process may hold. Danger: without any left, accepting fails for all.
+// budget shares out the descriptors that the process may hold. Without any left, accepting fails for all.
 type budget struct {
 	requests int // held at once; each has a connection of its client
 	clients  int // connections from clients
--- a/internal/sidecar/chunks.go
+++ b/internal/sidecar/chunks.go
@@ -68,7 +68,7 @@
 	case chunkSize:
 		digit, ok := hexDigit(b)
 		switch {
-		case ok && c.digits < 15: // Danger: a size that overflows is another size.
+		case ok && c.digits < 15: // A size that overflows is another size.
 			c.left, c.digits = c.left<<4|uint64(digit), c.digits+1
 		case ok:
 			return bad("makes a size too long")
--- a/internal/sidecar/conns.go
+++ b/internal/sidecar/conns.go
@@ -15,7 +15,7 @@
 	"milletramp.example/milletramp/internal/stats"
 )
 
-// leastIdle is how long a connection is idle before another may take its place. Danger: a burst of connections would
+// leastIdle is how long a connection is idle before another may take its place. Otherwise a burst of connections would
 // close those that came just before it, with their first requests on the way.
 const leastIdle = 20 * time.Millisecond
 
@@ -32,7 +32,7 @@
 // clientConns is a listener that bounds the connections from clients, and ends those that have no request: the longest
 // idle ones when they are too many, and all of them when the process stops.
 //
-// A connection that idles is not closed from outside, it is retired: its reader is told to read no more. Danger: whoever
+// A connection that idles is not closed from outside, it is retired: its reader is told to read no more. Whoever
 // closes a connection cannot know whether its reader has just got a request, which then has no answer. The reader knows.
 type clientConns struct {
 	net.Listener
@@ -192,7 +192,7 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// hasRead takes in what c's reader has got, or why it got nothing. Danger: the time for its head may have run out, or c may have been retired,
+// hasRead takes in what c's reader has got, or why it got nothing. The time for its head may have run out, or c may have been retired,
 // while it was got.
 func (l *clientConns) hasRead(c *clientConn, err error) {
 	l.mu.Lock()
@@ -365,7 +365,7 @@
 }
 
 // ends tells whether c's next answer is to end it: it is retired, or clients hold so many connections that none should
-// stay open behind its answer. Danger: clients may hold no more than a share of the descriptors. Those that ask once and
+// stay open behind its answer. Clients may hold no more than a share of the descriptors. Those that ask once and
 // stay take all of it within seconds, sooner than their connections have idled for long, and then no request comes any
 // more. A connection that an answer ends crosses no request, as one may that is closed for having idled. It costs a
 // connection for each request, so it is not done without need.
--- a/internal/sidecar/family.go
+++ b/internal/sidecar/family.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// share has this process hold a part of what the sidecar may. Danger: two processes count as one.
+// share has this process hold a part of what the sidecar may. Two processes count as one.
 func (s *server) share(shares int) {
 	b := newBudget(s.config)
 	if s.config.Limits.MostHeld > 0 {
--- a/internal/sidecar/fleet.go
+++ b/internal/sidecar/fleet.go
@@ -143,7 +143,7 @@
 	return nil
 }
 
-// obey takes in which servers the fleet has out by hand. It does not wait. Danger: a peer's word may take out what the own
+// obey takes in which servers the fleet has out by hand. It does not wait. A peer's word may take out what the own
 // list names, and put back what the fleet has had out; it ends no drain, as that is the list's.
 func (o *ops) obey(out []string) {
 	o.host.post(func() {
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -14,7 +14,7 @@
 const mostHead = 4 * mostHeader
 
 // framing follows the bytes that a client sends and finds what net/http would mend: a length beside chunks, a length
-// given twice, and folded lines. Danger: whoever else read such a message would see another one. The zero value is at a
+// given twice, and folded lines. Whoever else read such a message would see another one. The zero value is at a
 // connection's start.
 type framing struct {
 	heads  int // that have come whole
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// originAge is how far before the program's start the Balancer's clock begins. Danger: it takes a time of 0 or
+	// originAge is how far before the program's start the Balancer's clock begins. It takes a time of 0 or
 	// less for long ago; a server that booted just before this program would pass for warm.
 	originAge = 24 * time.Hour
 	// answerMargin is kept free before the client's deadline for the way of the final answer.
@@ -166,7 +166,7 @@
 func (h *host) serve(ctx context.Context, c *call) (answer, bool) {
 	c.answered = make(chan answer, 1)
 	h.post(func() { h.begin(c) })
-	// Danger: a request that the Balancer left without an answer would hang until the client gives up.
+	// A request that the Balancer left without an answer would hang until the client gives up.
 	due := time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
 	defer due.Stop()
 	select {
@@ -261,7 +261,7 @@
 	}
 }
 
-// released gives back the room of the body. Danger: given back while an attempt still writes it, the next request's body
+// released gives back the room of the body. Given back while an attempt still writes it, the next request's body
 // would go out in its place.
 func (c *call) released() {
 	if c.release != nil {
@@ -306,7 +306,7 @@
 }
 
 // begins takes in that a long answer has come in part, and tells whether it is to be passed on. From then on the request
-// has its answer, and the attempt has ended for the Balancer. Danger: of two answers a client would get parts of both.
+// has its answer, and the attempt has ended for the Balancer. Of two answers a client would get parts of both.
 func (h *host) begins(c *call, n int, endpoint string, sent balance.Time, r reply) (wins bool) {
 	decided := make(chan bool, 1)
 	h.post(func() {
@@ -334,7 +334,7 @@
 	c.out--
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
 		Took: h.now - sent, Finished: c.over.Load()})
-	if wins { // Danger: a second copy that is not called off before would be sent after the final answer.
+	if wins { // A second copy that is not called off before would be sent after the final answer.
 		c.answered <- answer{kind: served, body: r.body, ctype: r.ctype, rest: r.rest}
 	}
 	h.forget(c)
--- a/internal/sidecar/ids.go
+++ b/internal/sidecar/ids.go
@@ -9,7 +9,7 @@
 // idMemory is how long an id is at least remembered after its request's end.
 const idMemory = time.Second
 
-// ids are those of the requests in hand and of those that have just ended. Danger: a second request under an id would
+// ids are those of the requests in hand and of those that have just ended. A second request under an id would
 // be a second copy for servers, and one of the two would get the other's answer. It may still be on its way when the
 // first has its answer.
 type ids struct {
--- a/internal/sidecar/listen.go
+++ b/internal/sidecar/listen.go
@@ -77,7 +77,7 @@
 	taken  bool // one in this round
 }
 
-// waiting tells whether a connection waits to be accepted. Danger: the accepting looks no more once its time is over, and
+// waiting tells whether a connection waits to be accepted. The accepting looks no more once its time is over, and
 // on a busy machine it is told so late.
 func (l *drainListener) waiting() bool {
 	raw, err := l.SyscallConn()
@@ -99,7 +99,7 @@
 	return l.SetDeadline(time.Now().Add(atLeast))
 }
 
-// Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
+// Accept implements net.Listener. A deadline can pass with connections waiting, and closing the listener
 // resets them, so the end comes only after a round in which none was found.
 func (l *drainListener) Accept() (net.Conn, error) {
 	for {
@@ -109,7 +109,7 @@
 			return c, err
 		}
 		if (l.rounds > 0 && !l.taken || l.rounds >= mostRounds) && !l.waiting() {
-			// Danger: each moment until it is closed, more may come to wait.
+			// Each moment until it is closed, more may come to wait.
 			return nil, errors.Join(net.ErrClosed, l.Close())
 		}
 		l.rounds, l.taken = l.rounds+1, false
--- a/internal/sidecar/ops.go
+++ b/internal/sidecar/ops.go
@@ -62,7 +62,7 @@
 	return text.Bytes(), err
 }
 
-// TakeOut implements console.Sidecar. In an upgrade it binds both processes before it returns. Danger: one that is just
+// TakeOut implements console.Sidecar. In an upgrade it binds both processes before it returns. One that is just
 // starting looks at what is written down, and one that has started is told; what is written first and told then misses
 // neither.
 func (o *ops) TakeOut(ctx context.Context, id string, out, passed bool) (note string, err error) {
--- a/internal/sidecar/policy.go
+++ b/internal/sidecar/policy.go
@@ -155,7 +155,7 @@
 	return nil
 }
 
-// enter waits until requests are taken, if that is soon, and has the host go by the policy in force. Danger: what it says may
+// enter waits until requests are taken, if that is soon, and has the host go by the policy in force. What it says may
 // be over when it returns; holds is what counts.
 func (g *gate) enter(ctx context.Context, within time.Duration) bool {
 	for end := time.Now().Add(min(within, enterWithin)); ; {
@@ -185,7 +185,7 @@
 }
 
 // holds tells whether a request that was read under a policy may be taken now. It is the loop's, called just before the request is
-// taken. Danger: a process that stood still meanwhile sees that here.
+// taken. A process that stood still meanwhile sees that here.
 func (g *gate) holds(number uint64) bool {
 	now, _, ok := g.policy.Serves()
 	return ok && now == number && g.host.terms.Load().policy == number
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -149,7 +149,7 @@
 func (c *serverConn) setPause() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.givenUp { // Danger: the deadline that ends the read would be overwritten.
+	if c.givenUp { // The deadline that ends the read would be overwritten.
 		return nil
 	}
 	return c.SetReadDeadline(time.Now().Add(c.pause))
@@ -179,7 +179,7 @@
 func (p *pool) put(c *serverConn, clean bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// Danger: a connection to a former process or address swallows the next request.
+	// A connection to a former process or address swallows the next request.
 	if !clean || c.of.gone || p.open > p.most {
 		p.end(c)
 		return
@@ -192,7 +192,7 @@
 	}
 }
 
-// expire closes what has idled for too long. Danger: a server closes a connection that has idled too long, and what
+// expire closes what has idled for too long. A server closes a connection that has idled too long, and what
 // crosses that close is a reset that may have run.
 func (p *pool) expire() {
 	p.mu.Lock()
@@ -246,7 +246,7 @@
 	_ = c.Conn.Close() // nothing is owed on it
 }
 
-// quiet tells whether the connection is open and has nothing to read. Danger: what a server said unasked would be
+// quiet tells whether the connection is open and has nothing to read. What a server said unasked would be
 // taken for the answer to the next request.
 func (c *serverConn) quiet() bool {
 	if c.in.Buffered() > 0 {
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -81,7 +81,7 @@
 	if w.next != nil {
 		w.next.cancel()
 	}
-	w.next = h.open(-1) // Danger: versions that the old address counted may mean another list at the new one.
+	w.next = h.open(-1) // Versions that the old address counted may mean another list at the new one.
 }
 
 // Subscribe implements balance.Actions. It opens a watch if there is none.
@@ -121,7 +121,7 @@
 		w.current, w.next = from, nil
 	case w.current:
 	default:
-		return // Danger: a late line of a former address would undo what the new one has told.
+		return // A late line of a former address would undo what the new one has told.
 	}
 	kind := balance.ListChanges
 	if l.All {
@@ -136,7 +136,7 @@
 func (h *host) unwatched(ended *watch, err error) {
 	w := &h.watches
 	switch ended {
-	case w.next: // The new address is not up yet. Danger: asked without a pause it would never come up.
+	case w.next: // The new address is not up yet. Asked without a pause it would never come up.
 		h.log.Info("discovery", "err", err)
 		pause := min(firstReask<<min(w.reasked, 8), longestReask)
 		w.reasked++
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -97,7 +97,7 @@
 		case <-stop.Done():
 			return nil
 		}
-		// Danger: a process that listens and has no servers refuses what the other one would serve.
+		// A process that listens and has no servers refuses what the other one would serve.
 		select {
 		case <-h.ready:
 		case <-stop.Done():
@@ -148,7 +148,7 @@
 		}
 		break
 	}
-	// Danger: connections that are waiting when the listener closes are reset, and what they sent is lost. So this
+	// Connections that are waiting when the listener closes are reset, and what they sent is lost. So this
 	// goes on accepting and serving first, and only asks clients to close.
 	succeeded := staff.family.successor()
 	log.Info("draining", "succeeded", succeeded)
@@ -169,7 +169,7 @@
 		return fmt.Errorf("drain: %w", err)
 	}
 	<-ended
-	// Danger: http.Server.Shutdown reads what still comes on connections and drops it, and closes others under a request
+	// http.Server.Shutdown reads what still comes on connections and drops it, and closes others under a request
 	// that was just read. So connections end one by one, each when it has answered, or has nothing to answer.
 	for s.conns.held() > 0 {
 		if time.Now().After(closeIdle) {
@@ -180,7 +180,7 @@
 	if err := web.Close(); err != nil { // which holds nothing any more
 		return fmt.Errorf("close: %w", err)
 	}
-	// Danger: the console closes next, and whoever passes a call of the staff on to this process would be turned away. It has
+	// The console closes next, and whoever passes a call of the staff on to this process would be turned away. It has
 	// nothing in hand that a call could still concern.
 	if err := staff.family.member.Leave(); err != nil {
 		log.Warn("the next process takes this one for a living one until it has ended", "err", err)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// headWithin is how long a client may take to send a head: 2 s are its right. Danger: one that never ends would hold
+	// headWithin is how long a client may take to send a head: 2 s are its right. One that never ends would hold
 	// its connection for good.
 	headWithin = 2300 * time.Millisecond
 	// bodyWithin is how long after a connection's start a body has to begin to keep its pace, and bodyGrace how long after
@@ -26,7 +26,7 @@
 	bodyGrace   = 400 * time.Millisecond
 	bodyPace    = 48 << 10        // bytes a second that a body comes at least, less than the 64 kB that are a client's right
 	writeWithin = 2 * time.Second // a client may take to receive a short answer, or a piece of a long one
-	// idleWithin is how long a client's connection may idle; clients expect it to stay open for 2 s. Danger: clients that
+	// idleWithin is how long a client's connection may idle; clients expect it to stay open for 2 s. Clients that
 	// ask once and keep the connection take, all together, those that others need.
 	idleWithin = 2 * time.Second
 )
@@ -89,7 +89,7 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
-	// Danger: what HTTP/1.0 says of a body's length is not to be relied on, and so what follows it is not either.
+	// What HTTP/1.0 says of a body's length is not to be relied on, and so what follows it is not either.
 	conn, _ := r.Context().Value(connKey{}).(*clientConn) // nil: not from httpServer
 	if s.draining.Load() || !r.ProtoAtLeast(1, 1) || s.conns.ends(conn) {
 		w.Header().Set("Connection", "close")
@@ -193,14 +193,14 @@
 		w.Header().Set(policyHeader, policyOf(c.policy))
 	}
 	if !ok {
-		// Danger: net/http ends a handler that wrote nothing with an empty 200, which a client that has closed
+		// net/http ends a handler that wrote nothing with an empty 200, which a client that has closed
 		// only its sending reads as served.
 		panic(http.ErrAbortHandler)
 	}
 	if s.draining.Load() { // also where it was told so since the request came
 		w.Header().Set("Connection", "close")
 	}
-	// Danger: a client that reads no answers would hold its handler for good.
+	// A client that reads no answers would hold its handler for good.
 	_ = conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	if a.rest != nil {
 		return s.pass(w, r, conn, a, c)
@@ -260,7 +260,7 @@
 			return bad(http.StatusRequestEntityTooLarge, "body too large")
 		default:
 			if taken == len(body)-1 {
-				// Danger: many large bodies at once would take all memory. Danger: where each takes its room bit by bit,
+				// Many large bodies at once would take all memory. Where each takes its room bit by bit,
 				// all get a part and none gets through. One that says its length takes it at once.
 				more := max(1, (int(r.ContentLength)-all)/mostBody+1)
 				if !s.room.take(more) {
@@ -271,7 +271,7 @@
 			piece = s.room.piece()
 			body = append(body, nil)
 		}
-		// Danger: a body that never ends would hold its connection for good.
+		// A body that never ends would hold its connection for good.
 		if err := conn.SetReadDeadline(start.Add(time.Duration(all) * time.Second / bodyPace)); err != nil {
 			return bad(http.StatusInternalServerError, "no deadline")
 		}
@@ -315,7 +315,7 @@
 	if !r.ProtoAtLeast(1, 1) {
 		return nil, 0, &fault{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed", ""}
 	}
-	// Danger: of two values, servers may take the other one.
+	// Of two values, servers may take the other one.
 	for _, name := range []string{"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout-Ms", "Idempotency-Key",
 		"Content-Type", "Content-Length"} {
 		if len(r.Header[name]) > 1 {
@@ -332,7 +332,7 @@
 	if !ok {
 		return bad("X-Priority-Class is missing or unknown")
 	}
-	// Danger: a request sent with less care than its class needs could take effect twice.
+	// A request sent with less care than its class needs could take effect twice.
 	effect, method := class.Effect, http.MethodPost
 	if effect == balance.Idempotent {
 		method = http.MethodGet
@@ -346,12 +346,12 @@
 	if r.Method == http.MethodGet && r.ContentLength != 0 {
 		return bad("GET takes no body")
 	}
-	// Danger: a number that overflows a duration would be a deadline that is long past.
+	// A number that overflows a duration would be a deadline that is long past.
 	ms, err := strconv.ParseUint(r.Header.Get("X-Timeout-Ms"), 10, 31)
 	if err != nil {
 		return bad("X-Timeout-Ms is no number of milliseconds")
 	}
-	// Danger: a client that claims to wait for weeks would be held for weeks.
+	// A client that claims to wait for weeks would be held for weeks.
 	wait := min(time.Duration(ms)*time.Millisecond, class.Deadline)
 	c.policy = now.policy
 	c.term, c.tenant, c.retry = class, -1, r.Header.Get("X-Retried") == "1"
@@ -365,7 +365,7 @@
 func (a answer) write(w http.ResponseWriter) {
 	switch a.kind {
 	case served:
-		// Danger: a guessed type or a chunked body would be another answer than the server's.
+		// A guessed type or a chunked body would be another answer than the server's.
 		w.Header()["Content-Type"] = nil
 		if a.ctype != "" {
 			w.Header().Set("Content-Type", a.ctype)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -94,11 +94,11 @@
 // pieces are buffers of passPiece bytes.
 var pieces = sync.Pool{New: func() any { return new([passPiece]byte) }}
 
-// pass passes a long answer on. Danger: what the server cuts off must not look whole to the client: its connection ends
+// pass passes a long answer on. What the server cuts off must not look whole to the client: its connection ends
 // before the length is met, or before the chunks' end.
 func (s *server) pass(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, a answer, c *call) *fault {
 	whole, ours := false, false
-	// Danger: a full send buffer takes more when a third of it is free. A slow client would take a large one's third for
+	// A full send buffer takes more when a third of it is free. A slow client would take a large one's third for
 	// longer than any piece may take.
 	if client, ok := r.Context().Value(connKey{}).(*clientConn); ok {
 		if tcp, ok := client.Conn.(*net.TCPConn); ok {
--- a/internal/sidecar/terms.go
+++ b/internal/sidecar/terms.go
@@ -42,7 +42,7 @@
 // absent.
 var mayLack = []string{"known", "aim_stretch", "passes_deadline", "warm_keys"}
 
-// lacks returns the first key, by its path, that a configuration lacks though the one in use has it, or "". Danger: a
+// lacks returns the first key, by its path, that a configuration lacks though the one in use has it, or "". A
 // file that was written in part still parses, and what it lacks would pass for 0 or false.
 func lacks(path string, inUse, fresh any) string {
 	switch inUse := inUse.(type) {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -76,7 +76,7 @@
 	u.pool.rest.Store(int64(l.IdleClose / 2)) // half of the time after which servers close keeps well clear of it
 }
 
-// bar keeps everything new from a server that is taken out by hand, or lets it go there again. Danger: the staff
+// bar keeps everything new from a server that is taken out by hand, or lets it go there again. The staff
 // restarts it meanwhile. Its connections would swallow what is sent on them, and one that is just coming up is new.
 func (u *upstream) bar(id string, out bool) {
 	u.mu.Lock()
@@ -177,10 +177,10 @@
 	if err != nil {
 		return u.failed(ctx, to, begun, false, err)
 	}
-	// Danger: an attempt that is given up must end now, wherever it stands.
+	// An attempt that is given up must end now, wherever it stands.
 	stop := context.AfterFunc(ctx, c.giveUp)
 	request, body := m.request(ctx, to.address)
-	// Danger: a deadline set by another goroutine comes too late for a second copy that is called off as it is sent.
+	// A deadline set by another goroutine comes too late for a second copy that is called off as it is sent.
 	n, err := 0, ctx.Err()
 	if err == nil {
 		err = u.notDue(&s, to)
@@ -198,7 +198,7 @@
 	if len(body) > 0 {
 		whole += m.length()
 	}
-	ran := n == whole // Danger: a request taken for unwritten that was written runs twice.
+	ran := n == whole // A request taken for unwritten that was written runs twice.
 	if ran {
 		u.tries.Add(1)
 	}
@@ -241,7 +241,7 @@
 	return c, err
 }
 
-// receive waits for the answer and reads it. Danger: an answer that stops midway, as one whose length is too long,
+// receive waits for the answer and reads it. An answer that stops midway, as one whose length is too long,
 // would hold its request to the end.
 func (u *upstream) receive(ctx context.Context, c *serverConn) (reply, bool, error) {
 	c.limit.N, c.pause = 1<<10, 0
@@ -267,7 +267,7 @@
 	case errors.Is(err, errSpoilt):
 		return reply{outcome: balance.Errored}
 	}
-	// Danger: when a machine vanishes, its idle connections stay open and swallow requests that may then never be
+	// When a machine vanishes, its idle connections stay open and swallow requests that may then never be
 	// repeated. A new connection fails before anything is sent. Where the server has answered since, only this one is
 	// dead, and to close the others would have it work on new ones all the time.
 	if cause == nil || to.answered.Load() < begun.UnixNano() {
@@ -311,5 +311,5 @@
 	if len(m.body) == 1 {
 		return append(b, m.body[0]...), nil
 	}
-	return b, m.body // Danger: copies of many large bodies would take all memory.
+	return b, m.body // Copies of many large bodies would take all memory.
 }
