--- a/deploy/names_test.go
+++ b/deploy/names_test.go
@@ -143,3 +143,40 @@
 		t.Errorf("found %q", found)
 	}
 }
+
+// withdrawn are words of our own that gave way to the field's terms. The prefix of deciders' folders is kept, as it is in use.
+var withdrawn = regexp.MustCompile(`(?i)\b(chambers?|seats?|rivals?|founders?|founding|councils?)\b([^-]|$)`)
+
+// TestWithdrawnTerms: no withdrawn term is left in code, help or pages.
+func TestWithdrawnTerms(t *testing.T) {
+	looked := 0
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (entry.Name() == ".git" || entry.Name() == "journal" || entry.Name() == "bin") {
+			return filepath.SkipDir
+		}
+		own := filepath.Base(path) == "names_test.go"
+		if !strings.Contains(" .go .md .toml ", " "+filepath.Ext(path)+" ") || own {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		looked++
+		for i, line := range strings.Split(string(text), "\n") {
+			if found := withdrawn.FindString(line); found != "" {
+				t.Errorf("%s:%d has %q, which is withdrawn", path, i+1, strings.TrimSpace(found))
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if looked < 200 {
+		t.Errorf("only %d files were looked at", looked)
+	}
+}
