Call an own agent again within 0.2 s after a call that failed

Change: where lists are pushed, each sidecar has an agent of its own, and the next call is made within 0.2 s, without doubling; a new address after SIGHUP is asked again within 0.4 s. Where lists are asked for, nothing changes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -115,10 +115,12 @@
 )
 
 // After a call of discovery that failed, the next one is made within FirstReask; the bound doubles with each
-// further failure, up to LongestReask.
+// further failure, up to LongestReask. Where lists are pushed, each sidecar has an agent of its own, and the next call
+// is made within PushedReask: what the agent gets when discovery is back counts as told at once.
 const (
 	FirstReask   = 500 * time.Millisecond
 	LongestReask = 1500 * time.Millisecond
+	PushedReask  = 200 * time.Millisecond
 )
 
 // Endpoint is one entry of discovery's list.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -301,6 +301,9 @@
 		// that waits for long is told of changes too late.
 		b.subscribed = false
 		wait := min(FirstReask<<min(b.refusals, 8), LongestReask)
+		if !b.set.AskDiscovery {
+			wait = PushedReask // an own agent tells: what it has counts as told
+		}
 		b.refusals++
 		b.act.Timer(time.Duration((1+3*b.rng.Float64())*float64(wait)/4), tokenAsk)
 		return
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -124,6 +124,7 @@
 	epoch  int  // watches of former epochs say nothing for good
 	down   bool // new calls get no answer for good
 	inVain int  // and so many more, once it is up
+	holds  bool // calls that come while it is down are answered once it is up
 }
 
 // dial returns a connection to the agent.
@@ -152,6 +153,13 @@
 	return a.calls, a.epoch, answered
 }
 
+// held tells whether calls wait for it to be up.
+func (a *agent) held() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holds
+}
+
 func (a *agent) speaks(epoch int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -169,6 +177,16 @@
 		close(ended)
 	}()
 	number, epoch, answered := a.call()
+	for !answered && a.held() {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ended:
+			return
+		}
+		a.mu.Lock()
+		answered = !a.down
+		a.mu.Unlock()
+	}
 	if !answered {
 		<-ended
 		return
@@ -250,6 +268,27 @@
 	}
 }
 
+// TestToldAtTheReturn has an agent that answers, as soon as it is up again, what was asked while it was down: what it has counts as told
+// then, and a call is open nearly all the time.
+func TestToldAtTheReturn(t *testing.T) {
+	for outage := 3500 * time.Millisecond; outage < 20*time.Second; outage += 110 * time.Millisecond {
+		followed(t, func(t *testing.T, a *agent, _ *host, told chan time.Time) {
+			<-told
+			time.Sleep(10*time.Second + time.Millisecond)
+			a.holds = true
+			a.hush(true, 0)
+			time.Sleep(outage)
+			a.mu.Lock()
+			a.down = false
+			a.mu.Unlock()
+			back := time.Now()
+			if took := (<-told).Sub(back); took > balance.PushedReask+20*time.Millisecond {
+				t.Errorf("told %v after an outage of %v", took, outage)
+			}
+		})
+	}
+}
+
 // TestMoveToASilentAddress has a file name another address of discovery, whose first calls get no answer: the list is there less than 4 s
 // after it was read.
 func TestMoveToASilentAddress(t *testing.T) {
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -12,7 +12,7 @@
 // The wait before a new address of discovery is asked again doubles from the first to the longest.
 const (
 	firstReask   = 200 * time.Millisecond
-	longestReask = time.Second
+	longestReask = 400 * time.Millisecond
 )
 
 // watches are those that the host holds open. The loop alone touches them.
