review: peers that stop in a body leave requests on new connections unanswered

Cause: connections in the middle of a body are never closed for a new one, and a connection is taken from the kernel before there is room for it (downstream, Listener.Accept, makeCapacity).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,8 @@
 
 // cases are the cases by name. Each returns whether the rule held, or an error if it could not run.
 var cases = map[string]func(environment) (bool, error){
-	"twice": playTwice,
+	"stalled": playStalled,
+	"twice":   playTwice,
 }
 
 func main() {
