review: a planned restart cuts off long answers that their servers still give

Cause: 3.5 s after SIGTERM a server may take 50 ms for the next piece of a long answer (upstream, shutdownReadTimeout).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 
 // cases are the cases by name. Each returns whether the rule held, or an error if it could not run.
 var cases = map[string]func(environment) (bool, error){
+	"cut":     playCut,
 	"stalled": playStalled,
 	"twice":   playTwice,
 }
