review: clients of case 2 that read slowly keep a small buffer

Cause: a system with large default buffers could read a long answer ahead of its client, and free the connection. Change: these clients set their receive buffer to 64 KiB.

--- a/review/standin/stalled.go
+++ b/review/standin/stalled.go
@@ -22,6 +22,7 @@
 	stalledAnswer     = 4 << 20 // bytes of a long answer
 	stalledReadAtOnce = 6400    // bytes that a slow client reads every 100 ms, which is 64 kB a second
 	stalledReadPause  = 100 * time.Millisecond
+	stalledReadBuffer = 64 << 10
 
 	stalledRequests = 18
 	stalledInterval = 400 * time.Millisecond
@@ -47,6 +48,7 @@
 		return
 	}
 	defer conn.Close()
+	_ = conn.Conn.(*net.TCPConn).SetReadBuffer(stalledReadBuffer) // so that the system does not read ahead for it
 	q := call{id: fmt.Sprint("long-", number), class: "read", timeout: stalledTimeout}
 	response, _, err := conn.send(q, timeLimit)
 	if err != nil {
