Keep all attempts at a request with a key within one dedupe window

Cause: the send deadline was computed once, from the attempts made before, and ended with the write. The first attempt had none, also when a second one was sent beside it; what the system had taken into the send buffer counted as sent; and a connection that was closed went on sending its buffer.

Change: the Balancer limits each attempt by the windows of all others that may run (sendBy, new action SetSendTimeout), earlier ones too, and lifts the limit when the other has certainly not run. upstream's SendDeadline may change under way and holds until the server's machine has acknowledged the last byte; a closed connection drops what has not arrived. A lone attempt has no limit. A line in the log names an attempt that misses its send deadline.

--- a/balance/api.go
+++ b/balance/api.go
@@ -215,6 +215,9 @@
 	// Send starts an attempt, which may wait for its connection. If the request cannot be written completely
 	// within the timeout (0: no limit), the attempt is abandoned with the outcome NotSent.
 	Send(id RequestID, endpoint string, timeout time.Duration)
+	// SetSendTimeout replaces the timeout of Send of an attempt in flight, counted from now (0: no limit). It has
+	// no effect on an attempt whose request has reached the endpoint completely.
+	SetSendTimeout(id RequestID, attempt int, timeout time.Duration)
 	// Cancel stops waiting for an attempt. Its Result follows.
 	Cancel(id RequestID, attempt int)
 	// Reject sends the final response stating that the request had no effect and may be retried after the given
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -13,9 +13,10 @@
 func (printer) Send(id balance.RequestID, endpoint string, _ time.Duration) {
 	fmt.Println("send", id, "to", endpoint)
 }
-func (printer) Cancel(id balance.RequestID, attempt int)     { fmt.Println("cancel", id, attempt) }
-func (printer) Reject(id balance.RequestID, _ time.Duration) { fmt.Println("reject", id) }
-func (printer) Fail(id balance.RequestID)                    { fmt.Println("fail", id) }
+func (printer) SetSendTimeout(balance.RequestID, int, time.Duration) {}
+func (printer) Cancel(id balance.RequestID, attempt int)             { fmt.Println("cancel", id, attempt) }
+func (printer) Reject(id balance.RequestID, _ time.Duration)         { fmt.Println("reject", id) }
+func (printer) Fail(id balance.RequestID)                            { fmt.Println("fail", id) }
 
 func (printer) Timer(
 	time.Duration,
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -13,10 +13,18 @@
 	attempt int // index among the attempts of the request
 }
 
+// limitedAttempt is one call of SetSendTimeout.
+type limitedAttempt struct {
+	id      RequestID
+	attempt int
+	within  time.Duration
+}
+
 // host records the actions of a Balancer.
 type host struct {
 	now        Time
 	sent       []sentAttempt
+	limited    []limitedAttempt
 	rejected   []RequestID
 	retryAfter time.Duration // of the last rejection
 	failed     []RequestID
@@ -34,6 +42,9 @@
 	h.sent = append(h.sent, sentAttempt{id, endpoint, within, h.attempts[id]})
 	h.attempts[id]++
 }
+func (h *host) SetSendTimeout(id RequestID, attempt int, within time.Duration) {
+	h.limited = append(h.limited, limitedAttempt{id, attempt, within})
+}
 func (h *host) Cancel(RequestID, int) { h.cancelled++ }
 func (h *host) Reject(id RequestID, after time.Duration) {
 	h.rejected, h.retryAfter = append(h.rejected, id), after
--- a/balance/loss_test.go
+++ b/balance/loss_test.go
@@ -61,6 +61,8 @@
 	f.now = end
 }
 
+func (f *lossyHost) SetSendTimeout(RequestID, int, time.Duration) {}
+
 func (f *lossyHost) Send(id RequestID, to string, _ time.Duration) {
 	if f.ended[id] {
 		f.t.Errorf("an attempt of request %d is sent after the end of the request", id)
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -27,6 +27,9 @@
 	r.lines = append(r.lines, fmt.Sprint("send ", id, endpoint, timeout))
 	r.sent = append(r.sent, endpoint)
 }
+func (r *actionRecorder) SetSendTimeout(id RequestID, n int, timeout time.Duration) {
+	r.lines = append(r.lines, fmt.Sprint("set send timeout ", id, n, timeout))
+}
 func (r *actionRecorder) Cancel(id RequestID, n int) {
 	r.lines = append(r.lines, fmt.Sprint("cancel ", id, n))
 }
--- a/balance/requests.go
+++ b/balance/requests.go
@@ -34,6 +34,7 @@
 type attempt struct {
 	endpoint         *endpoint
 	sent             Time
+	sendBy           Time    // time by which it has to reach its endpoint completely; 0: no limit
 	waitingSince     Time    // start of the current wait for a response
 	inFlightAtSend   float64 // requests in flight there at sending, with this one and assumedOtherRequests
 	done             bool    // has a result
@@ -114,7 +115,6 @@
 	to.waitingSinceSum += now
 	q.retryPaid = false
 	q.outstanding++
-	timeout := q.sendTimeout(now)
 	q.attempts = append(q.attempts, attempt{
 		endpoint:       to,
 		sent:           now,
@@ -125,8 +125,10 @@
 	})
 	b.sentAttempts++
 	to.slowStart.reset(b.sentAttempts, now, 0)
-	b.actions.Send(q.ID, to.ID, timeout)
 	last := len(q.attempts) - 1
+	q.attempts[last].sendBy, _ = q.sendBy(last)
+	b.updateSendTimeouts(q, last, now)
+	b.actions.Send(q.ID, to.ID, q.sendTimeout(last, now))
 	token := tokenAttempt + uint64(q.ID)*maxAttemptsPerRequest + uint64(last)
 	b.scheduleAttemptCheck(min(b.lateThreshold(q.Class), b.hedgeDelay(q, &q.attempts[last])), token)
 }
@@ -144,6 +146,7 @@
 	a.releaseInFlight()
 	q.reachedEndpoint = q.reachedEndpoint || a.mayHaveRun || r.Outcome == Saturated
 	q.outstanding--
+	b.updateSendTimeouts(q, len(q.attempts), now)
 	switch r.Outcome {
 	case Saturated:
 		// Some endpoints serve one class and reject another. For the classes that they serve, they are neither slow
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -1,9 +1,6 @@
 package balance
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 // This file contains the conditions and deadlines for retries.
 
@@ -11,7 +8,7 @@
 const (
 	// retryMargin is the minimum time left in the window when a retry is selected.
 	retryMargin = 500 * time.Millisecond
-	// arrivalMargin is the minimum time left in the window when the last byte of a retry is sent. The write
+	// arrivalMargin is the minimum time left in the window when the last byte of an attempt is sent. The write
 	// may stall after the host has checked the time, and the request then crosses the network.
 	arrivalMargin = SchedulingStall + networkMargin
 	networkMargin = 25 * time.Millisecond
@@ -53,15 +50,47 @@
 	return true
 }
 
-// sendTimeout returns the time within which the next attempt has to be written completely, or 0 if there is
-// no limit. Without it, an attempt whose connection is established late could arrive after the dedupe window
-// of the first attempt.
-func (q *request) sendTimeout(now Time) (timeout time.Duration) {
-	for _, a := range q.attempts {
-		if q.class.Effect == Deduplicated && (!a.done || a.mayHaveRun) {
-			left := max(a.sent+q.class.DedupeWindow-arrivalMargin-now, 1)
-			timeout = min(cmp.Or(timeout, left), left)
+// sendBy returns the time by which attempt n has to reach its endpoint completely, and whether there is such
+// a limit. All attempts of a deduplicated request that may have been executed have to arrive within one
+// dedupe window, because an endpoint that executes one of them drops the others only during that window. An
+// attempt arrives after Send, so the window of each other attempt is counted from there. The limit therefore
+// applies to an earlier attempt as well, which may be held up while a later one is executed.
+func (q *request) sendBy(n int) (by Time, limited bool) {
+	if q.class.Effect != Deduplicated {
+		return 0, false
+	}
+	for i := range q.attempts {
+		other := &q.attempts[i]
+		if i == n || other.done && !other.mayHaveRun {
+			continue
+		}
+		windowEnd := other.sent + q.class.DedupeWindow - arrivalMargin
+		if !limited || windowEnd < by {
+			by, limited = windowEnd, true
+		}
+	}
+	return by, limited
+}
+
+// sendTimeout returns the time from now within which attempt n has to reach its endpoint completely, or 0 if
+// there is no limit.
+func (q *request) sendTimeout(n int, now Time) time.Duration {
+	by, limited := q.sendBy(n)
+	if !limited {
+		return 0
+	}
+	return max(by-now, 1)
+}
+
+// updateSendTimeouts applies the limits that have changed to the attempts in flight before attempt end.
+func (b *Balancer) updateSendTimeouts(q *request, end int, now Time) {
+	for n := range q.attempts[:end] {
+		a := &q.attempts[n]
+		by, _ := q.sendBy(n)
+		if a.done || a.sendBy == by {
+			continue
 		}
+		a.sendBy = by
+		b.actions.SetSendTimeout(q.ID, n, q.sendTimeout(n, now))
 	}
-	return timeout
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -36,6 +36,7 @@
 type sentAttemptState struct {
 	to      string
 	sent    Time
+	sendBy  Time // when it has to have reached the server; 0: no limit
 	done    bool
 	ran     bool
 	notSent bool // done, and never reached an endpoint
@@ -94,6 +95,45 @@
 		}
 	}
 	r.attempts = append(r.attempts, sentAttemptState{to: to, sent: c.now})
+	c.SetSendTimeout(id, len(r.attempts)-1, timeout)
+	c.checkSendLimits(id, r)
+}
+
+func (c *checker) SetSendTimeout(id RequestID, attempt int, timeout time.Duration) {
+	r := c.requests[id]
+	if r == nil || attempt >= len(r.attempts) || r.attempts[attempt].done || timeout < 0 {
+		c.fault("send timeout of %v for request %d, attempt %d", timeout, id, attempt)
+		return
+	}
+	r.attempts[attempt].sendBy = 0
+	if timeout > 0 {
+		r.attempts[attempt].sendBy = c.now + timeout
+	}
+}
+
+// checkSendLimits checks that no attempt in flight at a deduplicated request can arrive after the dedupe window of
+// another one that may have been executed, and that there is no other limit.
+func (c *checker) checkSendLimits(id RequestID, r *openRequest) {
+	for i, a := range r.attempts {
+		if a.done {
+			continue
+		}
+		limited := false
+		for j, other := range r.attempts {
+			if i == j || other.done && !other.ran || r.class.Effect != Deduplicated {
+				continue
+			}
+			limited = true
+			if a.sendBy == 0 || a.sendBy > other.sent+r.class.DedupeWindow {
+				c.fault("rule 2: attempt %d of request %d may arrive by %v, after the window of attempt %d, sent at %v", i, id,
+					a.sendBy, j, other.sent)
+			}
+		}
+		if !limited && a.sendBy != 0 {
+			c.fault("attempt %d of request %d has to arrive by %v, although no other one may have been executed", i, id,
+				a.sendBy)
+		}
+	}
 }
 
 // finish ends a request with a final response and returns it, or nil if it is over.
@@ -333,6 +373,7 @@
 			}
 			b.Result(c.now, Result{ID: e.id, Attempt: e.n, Endpoint: a.to, Outcome: e.how,
 				Took: c.now - a.sent, Finished: r.ended})
+			c.checkSendLimits(e.id, r)
 			if flip(.02) {
 				b.Result(c.now, Result{ID: e.id, Attempt: e.n, Endpoint: a.to, Outcome: e.how}) // a duplicate result
 			}
--- a/balance/sequence_test.go
+++ b/balance/sequence_test.go
@@ -78,6 +78,7 @@
 				c.now,
 				Result{ID: id, Attempt: n, Endpoint: a.to, Outcome: how, Took: c.now - a.sent, Finished: r.ended},
 			)
+			c.checkSendLimits(id, r)
 		}
 		var ids []RequestID
 		var ns []int
--- a/cmd/adapter/instance.go
+++ b/cmd/adapter/instance.go
@@ -74,6 +74,9 @@
 	i.writer.Send(i.number, id, endpoint, 0)
 }
 
+// SetSendTimeout does nothing: the protocol cannot express it, and an attempt has left once its connection is there.
+func (i *instance) SetSendTimeout(balance.RequestID, int, time.Duration) {}
+
 func (i *instance) Cancel(id balance.RequestID, attempt int) {
 	i.writer.Cancel(i.number, id, attempt)
 }
--- a/internal/lab/sim/attempt.go
+++ b/internal/lab/sim/attempt.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// SetSendTimeout implements balance.Actions. An attempt is cancelled unsent if its connection is not established within
+// the time; 0 means no limit.
+func (sc *sidecar) SetSendTimeout(id balance.RequestID, attempt int, within time.Duration) {
+	r := sc.requests[id]
+	if r == nil || attempt >= len(r.attempts) {
+		return
+	}
+	a := r.attempts[attempt]
+	if within > 0 && !a.ended && a.firstByteAt > sc.simulation.now+within {
+		a.endAfter(within, record.Cancelled)
+	}
+}
+
 func (r *request) newAttempt(srv *server) *attempt {
 	a := &attempt{
 		request:           r,
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -10,10 +10,11 @@
 
 // attempt is one attempt at a request, started by the Balancer.
 type attempt struct {
-	request  *inflightRequest
-	index    int // position among the attempts at the request, from 0
-	endpoint string
-	startAt  balance.Time
+	request      *inflightRequest
+	index        int // position among the attempts at the request, from 0
+	endpoint     string
+	startAt      balance.Time
+	sendDeadline *upstream.SendDeadline
 }
 
 // Send implements balance.Actions. It starts an attempt, which has to be sent within the given time. If that time is 0,
@@ -23,33 +24,56 @@
 	if r == nil {
 		return
 	}
-	a := attempt{request: r, index: len(r.attempts), endpoint: endpoint, startAt: l.now}
 	ctx, cancel := context.WithDeadline(l.ctx, r.deadline)
-	r.attempts = append(r.attempts, cancel)
+	control := attemptControl{cancel: cancel, sendDeadline: &upstream.SendDeadline{}}
+	a := attempt{
+		request:      r,
+		index:        len(r.attempts),
+		endpoint:     endpoint,
+		startAt:      l.now,
+		sendDeadline: control.sendDeadline,
+	}
+	r.attempts = append(r.attempts, control)
+	l.SetSendTimeout(id, a.index, within)
 	r.attemptsInFlight++
 	go func() {
 		defer cancel()
-		l.runAttempt(ctx, a, within)
+		l.runAttempt(ctx, a)
 	}()
 }
 
+// SetSendTimeout implements balance.Actions.
+func (l *EventLoop) SetSendTimeout(id balance.RequestID, attempt int, within time.Duration) {
+	r := l.inflight[id]
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	at := time.Time{}
+	if within > 0 {
+		at = l.origin.Add(l.now + within)
+	}
+	r.attempts[attempt].sendDeadline.Set(at)
+}
+
 // runAttempt makes an attempt and posts its result. If the response is streamed, startStreaming has already posted the
 // result.
-func (l *EventLoop) runAttempt(ctx context.Context, a attempt, within time.Duration) {
+func (l *EventLoop) runAttempt(ctx context.Context, a attempt) {
 	isStreamed := false
 	request := upstream.AttemptRequest{
-		ServerID:    a.endpoint,
-		Message:     &a.request.Message,
-		IsCancelled: func() bool { return l.isCancelled(a.request) },
+		ServerID:     a.endpoint,
+		Message:      &a.request.Message,
+		SendDeadline: a.sendDeadline,
+		IsCancelled:  func() bool { return l.isCancelled(a.request) },
 		StartStreaming: func(response upstream.Response) bool {
 			isStreamed = l.startStreaming(a, response)
 			return isStreamed
 		},
 	}
-	if within > 0 {
-		request.SendDeadline = l.origin.Add(a.startAt + within)
-	}
 	response := l.upstream.Attempt(ctx, request)
+	if response.MissedSendDeadline() {
+		l.log.Warn("server had not taken the request by the send deadline", "server", a.endpoint,
+			"class", a.request.Name, "attempt", a.index, "err", response.Err)
+	}
 	if !isStreamed {
 		l.Post(func() { l.finishAttempt(a, response) })
 	}
@@ -109,7 +133,7 @@
 // Cancel implements balance.Actions. It cancels an attempt; the goroutine of the attempt posts the result.
 func (l *EventLoop) Cancel(id balance.RequestID, attempt int) {
 	if r := l.inflight[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
-		r.attempts[attempt]()
+		r.attempts[attempt].cancel()
 	}
 }
 
--- a/internal/proxy/inflight_request.go
+++ b/internal/proxy/inflight_request.go
@@ -24,11 +24,17 @@
 	peerClosed   func() bool        // reports whether the client has disconnected; nil if unknown
 
 	requestID        balance.RequestID
-	completed        atomic.Bool          // the final response is decided
-	attempts         []context.CancelFunc // cancel functions, in order of start
+	completed        atomic.Bool      // the final response is decided
+	attempts         []attemptControl // in order of start
 	attemptsInFlight int
 }
 
+// attemptControl stops an attempt or limits the time in which its request has to reach the server.
+type attemptControl struct {
+	cancel       context.CancelFunc
+	sendDeadline *upstream.SendDeadline
+}
+
 // clientDisconnected reports whether the client has closed its connection, even if data sent before is still unread.
 func (r *inflightRequest) clientDisconnected() bool { return r.peerClosed != nil && r.peerClosed() }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"milletramp.example/milletramp/balance"
@@ -22,9 +23,9 @@
 type AttemptRequest struct {
 	ServerID string
 	Message  *Message
-	// SendDeadline is the time by which the complete request must be written. After it, the rest of the request is not
-	// sent. Zero means no deadline.
-	SendDeadline time.Time
+	// SendDeadline is the time by which the complete request must have reached the server. After it, the rest of the
+	// request is not sent. Nil means no deadline.
+	SendDeadline *SendDeadline
 	// IsCancelled reports whether the client no longer waits for the response. Nil means that it always waits.
 	IsCancelled func() bool
 	// StartStreaming is called after the first part of a long response was read. It reports whether the caller streams
@@ -35,11 +36,18 @@
 // Response is the result of an attempt. Body, ContentType and Remainder are set only if Outcome is Served.
 type Response struct {
 	Outcome     balance.Outcome
+	Err         error // why the attempt failed; nil if the server has responded
 	Body        []byte
 	ContentType string
 	Remainder   *Stream // the part of a long response after Body; nil: none
 }
 
+// MissedSendDeadline reports whether the attempt ended because its request had not reached the server by the send
+// deadline.
+func (r Response) MissedSendDeadline() bool {
+	return errors.Is(r.Err, errSendDeadline) || errors.Is(r.Err, errUndelivered)
+}
+
 // attempt is the state of one call of Client.Attempt.
 type attempt struct {
 	client    *Client
@@ -47,6 +55,8 @@
 	server    *server
 	startedAt time.Time
 	sent      bool // the complete request was written, so the server may process it
+	// undelivered is set if a part of the written request had not reached the server at the send deadline.
+	undelivered atomic.Bool
 }
 
 // Attempt sends a request to a server, at most once, and waits for the response until ctx is done. If the caller
@@ -60,7 +70,7 @@
 	a := &attempt{client: c, request: &request, server: target, startedAt: time.Now()}
 	response, err := a.run(ctx)
 	if err != nil {
-		return Response{Outcome: a.classifyFailure(ctx, err)}
+		return Response{Outcome: a.classifyFailure(ctx, err), Err: err}
 	}
 	now := time.Now()
 	target.lastResponse.Store(&now)
@@ -90,14 +100,10 @@
 
 // acquireConn acquires a connection from the pool. It fails with errSendDeadline if the send deadline passes first.
 func (a *attempt) acquireConn(ctx context.Context) (*serverConn, error) {
-	pool := a.client.pool
-	if a.request.SendDeadline.IsZero() {
-		return pool.acquire(ctx, a.server)
-	}
-	acquireCtx, cancel := context.WithDeadline(ctx, a.request.SendDeadline)
-	defer cancel()
-	conn, err := pool.acquire(acquireCtx, a.server)
-	if err != nil && acquireCtx.Err() != nil && ctx.Err() == nil {
+	sendCtx, stop := a.request.SendDeadline.withContext(ctx)
+	defer stop()
+	conn, err := a.client.pool.acquire(sendCtx, a.server)
+	if err != nil && errors.Is(context.Cause(sendCtx), errSendDeadline) {
 		return nil, errSendDeadline
 	}
 	return conn, err
@@ -114,7 +120,21 @@
 	if err := a.send(conn, encoded); err != nil {
 		return Response{}, false, err
 	}
-	return a.client.receiveResponse(ctx, conn)
+	defer a.request.SendDeadline.whenPassed(func() { a.abortUndelivered(conn) })()
+	response, reusable, err = a.client.receiveResponse(ctx, conn)
+	if err != nil && a.undelivered.Load() {
+		err = errUndelivered
+	}
+	return response, reusable, err
+}
+
+// abortUndelivered aborts the attempt if a part of the request is still in the send buffer of the connection, because
+// the server does not read. The server would otherwise process the request whenever it goes on reading.
+func (a *attempt) abortUndelivered(conn *serverConn) {
+	if conn.undeliveredBytes() > 0 {
+		a.undelivered.Store(true)
+		conn.abort()
+	}
 }
 
 // send writes the request. If the complete request was written, the server may process it even if send fails.
@@ -147,7 +167,7 @@
 		return errServerRemoved
 	case target.draining.Load():
 		return errServerDraining
-	case !request.SendDeadline.IsZero() && !time.Now().Before(request.SendDeadline):
+	case request.SendDeadline.hasPassed():
 		return errSendDeadline
 	case request.IsCancelled != nil && request.IsCancelled():
 		return errRequestCancelled
@@ -196,7 +216,7 @@
 	switch {
 	case !a.sent:
 		return balance.ConnectFailed
-	case cause != nil:
+	case cause != nil || errors.Is(err, errUndelivered):
 		return balance.TimedOut
 	}
 	return balance.Reset
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -261,7 +261,7 @@
 	dialer := testserver.NewDelayedDialer()
 	client.pool.dial = dialer.Dial
 	request := AttemptRequest{ServerID: "s-0", Message: newPostRequest("k"), StartStreaming: declineStreaming}
-	request.SendDeadline = time.Now().Add(50 * time.Millisecond)
+	request.SendDeadline = newSendDeadline(50 * time.Millisecond)
 	if response := client.Attempt(context.Background(), request); response.Outcome != balance.NotSent {
 		t.Errorf("outcome %d although no connection opened before the send deadline", response.Outcome)
 	}
@@ -269,7 +269,7 @@
 		<-ctx.Done()
 		return net.Dial(network, address)
 	}
-	request.SendDeadline = time.Now().Add(50 * time.Millisecond)
+	request.SendDeadline = newSendDeadline(50 * time.Millisecond)
 	response := client.Attempt(context.Background(), request)
 	if response.Outcome != balance.NotSent || backend.RequestCount() != 0 {
 		t.Errorf("outcome %d, %d requests sent after the send deadline", response.Outcome, backend.RequestCount())
@@ -284,7 +284,7 @@
 	message := newPostRequest("k")
 	message.Body = [][]byte{make([]byte, 32<<20), make([]byte, 32<<20)}
 	request := AttemptRequest{ServerID: "s-0", Message: message, StartStreaming: declineStreaming}
-	request.SendDeadline = time.Now().Add(50 * time.Millisecond)
+	request.SendDeadline = newSendDeadline(50 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), testserver.Timeout)
 	defer cancel()
 	if response := client.Attempt(ctx, request); response.Outcome != balance.NotSent || ctx.Err() != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"milletramp.example/milletramp/internal/netretry"
 )
 
@@ -123,3 +125,26 @@
 	})
 	return err == nil && nothingToRead
 }
+
+// undeliveredBytes returns the number of written bytes whose receipt the server's machine has not acknowledged. It
+// returns 0 if the system does not tell.
+func (c *serverConn) undeliveredBytes() (n int) {
+	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
+		count, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err == nil {
+			n = count
+		}
+	})
+	return n
+}
+
+// Close closes the connection and discards the bytes that have not reached the server. Otherwise the system would go on
+// sending them, and a server that pauses would process a request long after its attempt was given up.
+func (c *serverConn) Close() error {
+	if c.undeliveredBytes() > 0 {
+		_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
+			_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		})
+	}
+	return c.Conn.Close()
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -19,6 +19,10 @@
 	errRequestCancelled = fmt.Errorf("%w: request was cancelled", errNotSendable)
 )
 
+// errUndelivered means that a part of the written request had not reached the server at the send deadline. The server
+// may process the request if that part arrived in the meantime.
+var errUndelivered = errors.New("request had not reached the server completely at the send deadline")
+
 // errStreamDeclined means that the caller declined to stream a long response.
 var errStreamDeclined = errors.New("streaming of the response declined")
 
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"milletramp.example/milletramp/internal/discovery"
 	"milletramp.example/milletramp/internal/lab/testserver"
@@ -56,6 +57,13 @@
 	return &Message{Method: http.MethodGet, URL: &url.URL{Path: "/api"}, ID: "id-1"}
 }
 
+// newSendDeadline returns a send deadline that passes after the given time.
+func newSendDeadline(after time.Duration) *SendDeadline {
+	deadline := &SendDeadline{}
+	deadline.Set(time.Now().Add(after))
+	return deadline
+}
+
 // declineStreaming is a StartStreaming function that declines to stream a long response.
 func declineStreaming(Response) bool { return false }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -216,5 +216,5 @@
 // closeLocked closes a connection that is in no list of idle connections. The caller must hold p.mu.
 func (p *pool) closeLocked(conn *serverConn) {
 	p.openConns--
-	_ = conn.Conn.Close() // no unwritten data can be lost
+	_ = conn.Close() // bytes that have not reached the server are discarded on purpose
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -76,21 +76,19 @@
 	return encodedRequest{head: head, body: m.Body}
 }
 
-// writeRequest writes a request and returns the number of bytes written. It stops at the deadline; zero means no
-// deadline. At the deadline the server's dedupe window ends, so the last byte must not be written after it: the server
-// does not process a request whose last byte is missing.
-func (c *serverConn) writeRequest(deadline time.Time, request encodedRequest) (written int, err error) {
-	if deadline.IsZero() {
-		return c.writeParts(request)
-	}
-	if err := c.setWriteDeadline(deadline); err != nil {
-		return 0, err
-	}
+// writeRequest writes a request and returns the number of bytes written. It stops at the deadline. At the deadline the
+// server's dedupe window ends, so the last byte must not be written after it: the server does not process a request
+// whose last byte is missing.
+func (c *serverConn) writeRequest(deadline *SendDeadline, request encodedRequest) (written int, err error) {
+	stop := deadline.follow(func(at time.Time) {
+		_ = c.setWriteDeadline(at) // fails only on a closed connection
+	})
+	defer stop()
 	written, err = c.writeParts(request)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(deadline) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && deadline.hasPassed() {
 		err = errSendDeadline
 	}
-	return written, errors.Join(err, c.setWriteDeadline(time.Time{}))
+	return written, err
 }
 
 // writeParts writes the head and each piece of the body, up to the first error.
