Keep long answers going at the end of a drain while their servers send them

Cause: shortly before the earliest kill the read timeout of every stream fell to 50 ms, to recognize servers that hang. A server with longer pauses passed for one that hangs. Evidence: all clients failed within 2 ms, 20 ms before the process ended, so its end was not the cause; regression cases end by the first pause over 50 ms after that moment.

Only for a request that is received so late that the kill would lose its answer, pauses are limited, by the pace that the server had. Streams that end early are logged.

--- a/internal/proxy/api.go
+++ b/internal/proxy/api.go
@@ -72,10 +72,11 @@
 	return nil
 }
 
-// adoptBody takes over the body, the deadline and the disconnect check of a request whose head is parsed again.
+// adoptBody takes over the body, the times and the disconnect check of a request whose head is parsed again.
 func (r *inflightRequest) adoptBody(previous *inflightRequest) {
 	r.Body = previous.Body
 	r.releaseBody = previous.releaseBody
+	r.receivedAt = previous.receivedAt
 	r.deadline = previous.deadline
 	r.peerClosed = previous.peerClosed
 }
@@ -99,11 +100,12 @@
 		request.releaseBody = body.release
 		receivedAt = time.Now() // the timeout counts from the last byte of the request
 	}
+	request.receivedAt = receivedAt
 	request.deadline = receivedAt.Add(timeout - responseMargin)
 	if h.draining.Load() {
-		shutdownAt := h.shutdownAt.Load()
+		shutdownAt := h.drainSchedule.Load().shutdownAt
 		if shutdownAt.Before(request.deadline) {
-			request.deadline = *shutdownAt
+			request.deadline = shutdownAt
 		}
 	}
 	return request, nil
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,6 +21,10 @@
 	// killMargin is the time between the expiry of the last requests and the kill. It covers a stall of the process and
 	// 50 ms for sending the last responses.
 	killMargin = balance.SchedulingStall + 50*time.Millisecond
+	// killExemption is the time from the start of the drain within which a request may be received so that its response
+	// does not count as lost if the kill cuts it off. The platform counts KillDelay from the stop signal, which the
+	// process may notice late by a stall.
+	killExemption = KillDelay - balance.SchedulingStall
 )
 
 // Handler serves client requests. It implements http.Handler.
@@ -30,12 +34,18 @@
 	bodyBuffers *bufferPool // for large request bodies
 	gate        *PolicyGate // nil if the settings come from the configuration file
 	draining    atomic.Bool
-	shutdownAt  atomic.Pointer[time.Time] // when all responses are due; set before draining
 
-	shutdown      context.Context // done at shutdownAt
+	drainSchedule atomic.Pointer[drainSchedule] // set before draining
+	shutdown      context.Context               // done at drainSchedule.shutdownAt
 	beginShutdown context.CancelFunc
 }
 
+// drainSchedule has the times of a drain.
+type drainSchedule struct {
+	startedAt  time.Time
+	shutdownAt time.Time // when all responses are due
+}
+
 // NewHandler returns a Handler that passes requests to loop. At most maxInFlight requests are in flight at once.
 func NewHandler(c *config.Config, loop *EventLoop, maxInFlight int) *Handler {
 	shutdown, beginShutdown := context.WithCancel(context.Background())
@@ -60,15 +70,17 @@
 // IsDraining reports whether Drain has been called.
 func (h *Handler) IsDraining() bool { return h.draining.Load() }
 
-// Shutdown returns a context that is done when all responses are due, shortly before the process may be killed.
+// Shutdown returns a context that is done when all responses are due, shortly before the process may be killed. Only
+// streamed responses that their servers continue go on after that.
 func (h *Handler) Shutdown() context.Context { return h.shutdown }
 
 // Drain starts a shutdown. From then on, each response closes its connection, and all requests get a response before
 // the process may be killed. The time of the kill is computed from the longest request deadline, or from maxDeadline if
 // that is shorter.
 func (h *Handler) Drain(maxDeadline time.Duration) {
-	shutdownAt := time.Now().Add(min(h.LongestDeadline(), maxDeadline) + KillDelay - killMargin)
-	h.shutdownAt.Store(&shutdownAt)
+	startedAt := time.Now()
+	shutdownAt := startedAt.Add(min(h.LongestDeadline(), maxDeadline) + KillDelay - killMargin)
+	h.drainSchedule.Store(&drainSchedule{startedAt: startedAt, shutdownAt: shutdownAt})
 	h.draining.Store(true)
 	h.loop.Post(func() { h.loop.expireBy(shutdownAt) })
 	time.AfterFunc(time.Until(shutdownAt), h.beginShutdown)
--- a/internal/proxy/inflight_request.go
+++ b/internal/proxy/inflight_request.go
@@ -15,9 +15,10 @@
 type inflightRequest struct {
 	upstream.Message
 	*classSettings
-	policyNumber uint64 // policy under which the head was parsed; 0 for none
-	tenant       int    // index in the settings; -1 for none
-	isRetry      bool   // marked by the client as a retry
+	policyNumber uint64    // policy under which the head was parsed; 0 for none
+	tenant       int       // index in the settings; -1 for none
+	isRetry      bool      // marked by the client as a retry
+	receivedAt   time.Time // when its last byte was read
 	deadline     time.Time
 	response     chan finalResponse // receives the final response, once
 	releaseBody  func()             // returns the buffers of the body to the pool; nil without a body
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -49,25 +50,42 @@
 	}
 	isComplete := false
 	defer func() { response.remainder.Finish(isComplete) }()
-	defer context.AfterFunc(h.shutdown, response.remainder.ShortenReadTimeout)()
+	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(response.remainder, request) })()
 	response.writeContentType(w)
 	if length := response.remainder.Length(); length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	err := copyStream(w, conn, response, request.deadline)
-	switch err {
-	case nil:
+	if err == nil {
 		isComplete = true
 		request.counters.Served.Add(1)
 		return
-	case errServerRead:
+	}
+	if errors.Is(err, errServerRead) {
 		request.counters.Failed.Add(1)
+		h.loop.log.Warn("streamed response is incomplete", "class", request.Name,
+			"process_ends", h.shutdown.Err() != nil, "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
 
-// copyStream writes the first part of a body and then the remainder. It returns errClientWrite or errServerRead if the
-// body could not be completed.
+// endStalledStream ends a stream whose server has stopped sending. It is called at shutdown. A stream that its server
+// continues is not ended: the process waits for it, and may be killed.
+//
+// A response that the kill cuts off counts as lost if its request arrived late in the drain. For such a request, a
+// server that pauses longer than it is used to has to be recognized before the kill. For other requests, only a server
+// that has sent nothing since the drain began counts as stalled; otherwise the usual limit on pauses applies.
+func (h *Handler) endStalledStream(stream *upstream.Stream, request *inflightRequest) {
+	drainStartedAt := h.drainSchedule.Load().startedAt
+	if request.receivedAt.After(drainStartedAt.Add(killExemption)) {
+		stream.LimitPauses()
+		return
+	}
+	stream.EndIfSilentSince(drainStartedAt)
+}
+
+// copyStream writes the first part of a body and then the remainder. It returns errClientWrite, or an error that wraps
+// errServerRead, if the body could not be completed.
 func copyStream(w http.ResponseWriter, conn *http.ResponseController, response finalResponse,
 	deadline time.Time) error {
 	buffer := streamBuffers.Get().(*[streamBufferSize]byte)
@@ -86,7 +104,7 @@
 		remainder.SetReadTimeout(allowedPause(max(written, remainder.Length()), deadline))
 		n, err := remainder.Read(buffer[:])
 		if err != nil && !errors.Is(err, io.EOF) {
-			return errServerRead
+			return fmt.Errorf("%w: %w", errServerRead, err)
 		}
 		part = buffer[:n]
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,8 +20,8 @@
 // pastDeadline is a deadline that is always in the past. The zero time would mean no deadline.
 var pastDeadline = time.Time{}.Add(time.Nanosecond)
 
-// serverConn is a connection to a server. One attempt uses it at a time. Other goroutines may call only abort and
-// shortenReadTimeout.
+// serverConn is a connection to a server. One attempt uses it at a time. Other goroutines may call only abort,
+// abortIfSilentSince and limitPauses.
 type serverConn struct {
 	net.Conn
 	rawConn       syscall.RawConn
@@ -35,9 +35,11 @@
 	idleSince   time.Time
 	idleElement *list.Element // element of pool.idleConns; nil: not idle
 
-	mu                   sync.Mutex
-	aborted              bool // every read and write fails
-	readTimeoutShortened bool // shutdownReadTimeout is an upper bound of readTimeout
+	mu             sync.Mutex
+	aborted        bool          // every read and write fails
+	waitingSince   time.Time     // start of the read with a read timeout that is in progress; zero: none
+	longestPause   time.Duration // longest wait of such a read for the bytes of the present stream
+	maxReadTimeout time.Duration // upper bound of readTimeout; 0: none
 }
 
 // newServerConn returns a connection to target over conn. It closes conn if it fails.
@@ -58,9 +60,10 @@
 // progress.
 func (c *serverConn) Read(p []byte) (int, error) {
 	if c.readTimeout > 0 {
-		if err := c.extendReadDeadline(); err != nil {
+		if err := c.beginWait(); err != nil {
 			return 0, err
 		}
+		defer c.endWait()
 	}
 	return netretry.Read(c.Conn, p)
 }
@@ -68,28 +71,54 @@
 // Write implements net.Conn.
 func (c *serverConn) Write(p []byte) (int, error) { return netretry.Write(c.Conn, p) }
 
-// extendReadDeadline sets the read deadline to the end of the read timeout. It keeps the deadline of an aborted
-// connection, which makes the read fail.
-func (c *serverConn) extendReadDeadline() error {
+// beginWait starts a read, and sets the read deadline to the end of the read timeout. It keeps the deadline of an
+// aborted connection, which makes the read fail.
+func (c *serverConn) beginWait() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waitingSince = time.Now()
 	if c.aborted {
 		return nil
 	}
 	timeout := c.readTimeout
-	if c.readTimeoutShortened {
-		timeout = min(timeout, shutdownReadTimeout)
+	if c.maxReadTimeout > 0 {
+		timeout = min(timeout, c.maxReadTimeout)
 	}
-	return c.SetReadDeadline(time.Now().Add(timeout))
+	return c.SetReadDeadline(c.waitingSince.Add(timeout))
 }
 
-// shortenReadTimeout limits the read timeout to shutdownReadTimeout, also for the read in progress.
-func (c *serverConn) shortenReadTimeout() {
+// endWait ends a read that beginWait has started.
+func (c *serverConn) endWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readTimeoutShortened = true
-	if !c.aborted {
-		_ = c.SetReadDeadline(time.Now().Add(shutdownReadTimeout)) // fails only on a closed connection
+	c.longestPause = max(c.longestPause, time.Since(c.waitingSince))
+	c.waitingSince = time.Time{}
+}
+
+// resetPauses forgets the pauses of the previous response, and of the first part of the present one.
+func (c *serverConn) resetPauses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.longestPause = 0
+}
+
+// limitPauses limits the read timeout to shutdownPauseFactor times the longest pause so far, but to no less than
+// shutdownReadTimeout. The limit applies to the read in progress as well, from its start.
+func (c *serverConn) limitPauses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxReadTimeout = max(shutdownReadTimeout, shutdownPauseFactor*c.longestPause)
+	if !c.aborted && !c.waitingSince.IsZero() {
+		_ = c.SetReadDeadline(c.waitingSince.Add(c.maxReadTimeout)) // fails only on a closed connection
+	}
+}
+
+// abortIfSilentSince aborts the connection if the read in progress has waited since before t.
+func (c *serverConn) abortIfSilentSince(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waitingSince.IsZero() && c.waitingSince.Before(t) {
+		c.abortLocked()
 	}
 }
 
@@ -107,6 +136,11 @@
 func (c *serverConn) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.abortLocked()
+}
+
+// abortLocked is abort for a caller that holds c.mu.
+func (c *serverConn) abortLocked() {
 	c.aborted = true
 	_ = c.SetDeadline(pastDeadline) // fails only on a closed connection
 }
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -45,8 +46,8 @@
 	return &serverBody{conn: conn, length: length, remaining: length}
 }
 
-// TestStalledStreamEndsAfterShutdownReadTimeout checks that a stream ends shutdownReadTimeout after its read timeout
-// was shortened if it is stalled, or after its last bytes if it stalls later.
+// TestStalledStreamEndsAfterShutdownReadTimeout checks that a stream without earlier pauses ends shutdownReadTimeout
+// after its pauses were limited if it is stalled, or after its last bytes if it stalls later.
 func TestStalledStreamEndsAfterShutdownReadTimeout(t *testing.T) {
 	t.Run("stalled before the timeout is shortened", func(t *testing.T) {
 		runWithPipe(t, func(t *testing.T, conn *serverConn, _ net.Conn) {
@@ -58,7 +59,7 @@
 			}()
 			synctest.Wait()
 			startedAt := time.Now()
-			conn.shortenReadTimeout()
+			conn.limitPauses()
 			err := <-ended
 			took := time.Since(startedAt)
 			if !errors.Is(err, os.ErrDeadlineExceeded) || took != shutdownReadTimeout {
@@ -69,7 +70,7 @@
 	t.Run("stalled after the timeout is shortened", func(t *testing.T) {
 		runWithPipe(t, func(t *testing.T, conn *serverConn, serverEnd net.Conn) {
 			conn.readTimeout = time.Hour
-			conn.shortenReadTimeout()
+			conn.limitPauses()
 			go func() { _, _ = serverEnd.Write([]byte("x")) }()
 			body := bodyOfLength(conn, 2)
 			if n, err := body.Read(make([]byte, 2)); n != 1 || err != nil {
@@ -85,9 +86,9 @@
 	})
 }
 
-// TestSlowStreamIsReadWithShortenedReadTimeout checks that a stream with a shortened read timeout is read completely if
-// the server never pauses for as long as shutdownReadTimeout, however long the stream takes in total.
-func TestSlowStreamIsReadWithShortenedReadTimeout(t *testing.T) {
+// TestSlowStreamIsReadWithLimitedPauses checks that a stream with limited pauses is read completely if the server never
+// pauses for as long as shutdownReadTimeout, however long the stream takes in total.
+func TestSlowStreamIsReadWithLimitedPauses(t *testing.T) {
 	runWithPipe(t, func(t *testing.T, conn *serverConn, serverEnd net.Conn) {
 		const size = 20
 		conn.readTimeout = time.Hour
@@ -102,7 +103,7 @@
 				}
 			}
 		})
-		conn.shortenReadTimeout()
+		conn.limitPauses()
 		startedAt := time.Now()
 		data, err := io.ReadAll(bodyOfLength(conn, size))
 		took := time.Since(startedAt)
@@ -112,6 +113,94 @@
 	})
 }
 
+// TestLimitOfPausesFollowsPaceOfServer guards against a response that is cut off at shutdown although its server goes on
+// sending it at the pace that it had before. A server that stops must still be recognized.
+func TestLimitOfPausesFollowsPaceOfServer(t *testing.T) {
+	const (
+		pause  = 4 * shutdownReadTimeout
+		before = 3 // bytes before the pauses are limited
+		size   = 20
+	)
+	for _, stalls := range []bool{false, true} {
+		t.Run(fmt.Sprint("stalls ", stalls), func(t *testing.T) {
+			runWithPipe(t, func(t *testing.T, conn *serverConn, serverEnd net.Conn) {
+				conn.readTimeout = time.Hour
+				var sender sync.WaitGroup
+				defer sender.Wait()
+				defer serverEnd.Close()
+				sender.Go(func() {
+					for n := range size {
+						if stalls && n == before {
+							return
+						}
+						time.Sleep(pause) // simulated clock
+						if _, err := serverEnd.Write([]byte("x")); err != nil {
+							return
+						}
+					}
+				})
+				body := bodyOfLength(conn, size)
+				if _, err := io.ReadFull(body, make([]byte, before)); err != nil {
+					t.Fatal(err)
+				}
+				conn.limitPauses()
+				startedAt := time.Now()
+				data, err := io.ReadAll(body)
+				took := time.Since(startedAt)
+				switch {
+				case stalls && (!errors.Is(err, os.ErrDeadlineExceeded) || took != shutdownPauseFactor*pause):
+					t.Errorf("error %v after %v, want a timeout after %v", err, took, shutdownPauseFactor*pause)
+				case !stalls && (err != nil || len(data) != size-before):
+					t.Errorf("%d bytes, error %v, want %d", len(data), err, size-before)
+				}
+			})
+		})
+	}
+}
+
+// writeByte writes a byte that the other end of a pipe reads, within an hour of the simulated clock.
+func writeByte(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.SetWriteDeadline(time.Now().Add(time.Hour)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestStreamEndsOnlyIfSilentSince checks that EndIfSilentSince ends a stream whose reader has waited since before the
+// given time, and no other one.
+func TestStreamEndsOnlyIfSilentSince(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
+			runWithPipe(t, func(t *testing.T, conn *serverConn, serverEnd net.Conn) {
+				conn.readTimeout = time.Hour
+				stream := newStream(bodyOfLength(conn, 2))
+				ended := make(chan error, 1)
+				go func() {
+					_, err := io.ReadFull(stream, make([]byte, 2))
+					ended <- err
+				}()
+				time.Sleep(time.Second)
+				since := time.Now()
+				time.Sleep(time.Second)
+				if !silent {
+					writeByte(t, serverEnd)
+				}
+				synctest.Wait()
+				stream.EndIfSilentSince(since)
+				if !silent {
+					writeByte(t, serverEnd)
+				}
+				if err := <-ended; silent != errors.Is(err, os.ErrDeadlineExceeded) || !silent && err != nil {
+					t.Errorf("error %v", err)
+				}
+			})
+		})
+	}
+}
+
 // TestAbortedConnectionStaysAborted checks that no deadline set after abort makes the connection wait again.
 func TestAbortedConnectionStaysAborted(t *testing.T) {
 	for _, tt := range []struct {
@@ -123,8 +212,8 @@
 			_, err := conn.Read(make([]byte, 1))
 			return err
 		}},
-		{"read after shortenReadTimeout", func(conn *serverConn) error {
-			conn.shortenReadTimeout()
+		{"read after limitPauses", func(conn *serverConn) error {
+			conn.limitPauses()
 			_, err := conn.Read(make([]byte, 1))
 			return err
 		}},
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// shutdownReadTimeout is the maximum read timeout of a stream while this process shuts down. A stalled stream is then
-// closed before the process is killed, while a stream that makes progress continues.
-const shutdownReadTimeout = 50 * time.Millisecond
+// Limits on the pauses of a server once LimitPauses was called.
+const (
+	// shutdownReadTimeout is the minimum of the limit.
+	shutdownReadTimeout = 50 * time.Millisecond
+	// shutdownPauseFactor is the ratio of the limit to the longest pause before. A server that sends at its former pace
+	// stays within it.
+	shutdownPauseFactor = 4
+)
 
 // Stream reads the rest of a long response as it arrives. Only one goroutine may read it, and that goroutine must call
 // Finish once.
@@ -14,7 +19,10 @@
 	reusable         chan bool // receives one value: whether the connection can carry another request
 }
 
-func newStream(body *serverBody) *Stream { return &Stream{body: body, reusable: make(chan bool, 1)} }
+func newStream(body *serverBody) *Stream {
+	body.conn.resetPauses()
+	return &Stream{body: body, reusable: make(chan bool, 1)}
+}
 
 // Finish ends the stream and releases the connection to the server. complete reports whether the complete body was
 // read.
@@ -35,6 +43,9 @@
 // SetReadTimeout sets the maximum wait for the next bytes. Only the goroutine that reads the stream may call it.
 func (s *Stream) SetReadTimeout(timeout time.Duration) { s.body.conn.readTimeout = timeout }
 
-// ShortenReadTimeout limits the read timeout to shutdownReadTimeout, also for the read in progress. Any goroutine may
-// call it.
-func (s *Stream) ShortenReadTimeout() { s.body.conn.shortenReadTimeout() }
+// LimitPauses ends the stream if the server pauses much longer than it did before, also in the read in progress. Any
+// goroutine may call it.
+func (s *Stream) LimitPauses() { s.body.conn.limitPauses() }
+
+// EndIfSilentSince ends the stream if its reader has waited for the server since before t. Any goroutine may call it.
+func (s *Stream) EndIfSilentSince(t time.Time) { s.body.conn.abortIfSilentSince(t) }
