End the event loop only after its attempts have released their connections

Cause: attempts end with the loop's context, in goroutines of their own.

Change: EventLoop.Run waits for the attempts whose responses are not streamed. They end at once, as the context aborts connecting, writing and waiting.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"milletramp.example/milletramp/balance"
@@ -15,6 +16,7 @@
 	endpoint     string
 	startAt      balance.Time
 	sendDeadline *upstream.SendDeadline
+	markDone     func() // stops counting the attempt in EventLoop.runningAttempts
 }
 
 // Send implements balance.Actions. It starts an attempt, which has to be sent within the given time. If that time is 0,
@@ -32,11 +34,14 @@
 		endpoint:     endpoint,
 		startAt:      l.now,
 		sendDeadline: control.sendDeadline,
+		markDone:     sync.OnceFunc(l.runningAttempts.Done),
 	}
 	r.attempts = append(r.attempts, control)
 	l.SetSendTimeout(id, a.index, within)
 	r.attemptsInFlight++
+	l.runningAttempts.Add(1)
 	go func() {
+		defer a.markDone()
 		defer cancel()
 		l.runAttempt(ctx, a)
 	}()
@@ -65,7 +70,9 @@
 		SendDeadline: a.sendDeadline,
 		IsCancelled:  func() bool { return l.isCancelled(a.request) },
 		StartStreaming: func(response upstream.Response) bool {
-			isStreamed = l.startStreaming(a, response)
+			if isStreamed = l.startStreaming(a, response); isStreamed {
+				a.markDone() // the handler ends the stream
+			}
 			return isStreamed
 		},
 	}
--- a/internal/proxy/event_loop.go
+++ b/internal/proxy/event_loop.go
@@ -31,6 +31,11 @@
 	ready       chan struct{} // closed on the first update with endpoints or from discovery
 	firstUpdate chan struct{} // closed on the first update from discovery
 
+	// runningAttempts counts the attempts whose responses are not streamed yet. Run waits for them, because an attempt
+	// that is given up has to close its connection: at the end of the process, the system would send the rest of the
+	// request.
+	runningAttempts sync.WaitGroup
+
 	mu    sync.Mutex
 	queue []event
 	wake  chan struct{} // buffered; receives a value when an event is posted
@@ -135,8 +140,10 @@
 	}
 }
 
-// Run handles events until ctx ends. It must be called by one goroutine only.
+// Run handles events until ctx ends, which also ends the attempts, and returns once these have released their
+// connections. It must be called by one goroutine only.
 func (l *EventLoop) Run(ctx context.Context) {
+	defer l.runningAttempts.Wait()
 	for {
 		batch := l.takeQueue()
 		for _, e := range batch {
--- a/internal/proxy/event_loop_test.go
+++ b/internal/proxy/event_loop_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/url"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +15,7 @@
 	"milletramp.example/milletramp/balance"
 	"milletramp.example/milletramp/internal/discovery"
 	"milletramp.example/milletramp/internal/lab/testserver"
+	"milletramp.example/milletramp/internal/upstream"
 )
 
 // listedEndpoint returns an endpoint as listed by discovery. start is its reported start time; zero means unknown.
@@ -97,3 +101,39 @@
 		}
 	})
 }
+
+// TestRunWaitsForAttempts guards against a process that exits while an attempt still has its connection: the system
+// would then send the rest of a request that was given up.
+func TestRunWaitsForAttempts(t *testing.T) {
+	c := loadConfig(t, testserver.ServingList(1, &testserver.Backend{Address: silentAddress}), testserver.Settings)
+	c.Settings.PollDiscovery = true // no watch
+	ctx, cancel := context.WithCancel(context.Background())
+	loop := newEventLoop(ctx, t, c, nil)
+	dialling := make(chan struct{}, 1)
+	loop.upstream.SetDial(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		dialling <- struct{}{}
+		<-ctx.Done()
+		time.Sleep(50 * time.Millisecond) // the end of the attempt takes its time
+		return nil, ctx.Err()
+	})
+	request := &inflightRequest{
+		Message:       upstream.Message{Method: http.MethodGet, URL: &url.URL{Path: "/api"}, ID: "id-1"},
+		classSettings: loop.settings.Load().classes["read"],
+		tenant:        -1,
+		deadline:      time.Now().Add(testserver.Timeout),
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx)
+	}()
+	requestCtx, disconnect := context.WithCancel(context.Background())
+	defer disconnect()
+	go loop.serve(requestCtx, request) // returns when the test ends
+	testserver.Receive(t, dialling, "attempt")
+	cancel()
+	testserver.Receive(t, ended, "end of the loop")
+	if open, _ := loop.upstream.ConnCounts(); open != 0 {
+		t.Errorf("%d connections are open after the end of the loop, want none", open)
+	}
+}
