internal/standin: send a request again that crosses the close of an idle connection

A request without a body was sent again by the transport, also where the sidecar had read it and closed without an answer, which is a loss.

Change: a client's connection tells a close over an unread request from one after reading it, by the reset that follows. The first is sent once more; the second counts as never answered, for requests without a body too.

--- a/internal/standin/client_attempt.go
+++ b/internal/standin/client_attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"milletramp.example/milletramp/internal/lab/record"
@@ -34,7 +35,8 @@
 	request     workload.Request
 	class       scenario.Class
 	id, firstID uint64
-	sent        atomic.Bool // its last byte has been written, or it has ended
+	sent        atomic.Bool // its start is recorded: its last byte has been written, or it has ended
+	written     atomic.Bool // its last byte has been written to a connection that did not reset it unread
 }
 
 // newAttempt returns an attempt that servers can look up.
@@ -64,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.timeout())
 	defer cancel()
 	response, body, err := a.exchange(ctx, address)
-	sentWhole := a.sent.Load()
+	sentWhole := a.written.Load()
 	a.recordSent()
 	if errors.Is(ctx.Err(), context.Canceled) {
 		a.recordEnd(record.Event{Kind: record.ClientLeft})
@@ -84,18 +86,55 @@
 	return a.request.Timeout + a.ResponseGrace
 }
 
-// exchange sends the request and reads the whole response.
+// errClosedUnanswered means that the sidecar has read the request and closed its connection without a response.
+var errClosedUnanswered = errors.New("connection closed without a response to the request that was read on it")
+
+// exchange sends the request and reads the whole response. If the sidecar closes an idle connection and has not read
+// the request that crosses the close, the client sends the request one more time on a new connection, as the protocol
+// has it: "Between requests a sidecar may close one; if that crosses a request the sidecar has not read, the client
+// sends that request one more time on a new connection."
 func (a *clientAttempt) exchange(ctx context.Context, address string) (*http.Response, []byte, error) {
-	// The request counts as sent once its last byte is written.
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if info.Err == nil {
-			a.recordSent()
-		}
-	}})
+	response, body, reused, err := a.send(ctx, address)
+	if reused && errors.Is(err, syscall.ECONNRESET) && ctx.Err() == nil {
+		a.written.Store(false)
+		a.httpClient.CloseIdleConnections()
+		response, body, _, err = a.send(ctx, address)
+	}
+	return response, body, err
+}
+
+// send sends the request on one connection. reused reports whether that connection has carried a request before.
+func (a *clientAttempt) send(ctx context.Context, address string) (response *http.Response, body []byte, reused bool,
+	err error) {
+	var conns []*clientConn // more than one where the transport sends a request without a body again by itself
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			reused = info.Reused
+			conns = append(conns, info.Conn.(*clientConn))
+		},
+		// The request counts as sent once its last byte is written.
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				a.written.Store(true)
+				a.recordSent()
+			}
+		},
+	})
 	request, err := a.newHTTPRequest(ctx, address)
 	if err != nil {
 		panic(fmt.Sprintf("standin: a request that cannot be built: %v", err))
 	}
+	response, body, err = a.readResponse(request)
+	for _, conn := range conns {
+		if conn.closedUnanswered.Load() {
+			return nil, nil, reused, errClosedUnanswered
+		}
+	}
+	return response, body, reused, err
+}
+
+// readResponse sends a request and reads the whole response.
+func (a *clientAttempt) readResponse(request *http.Request) (*http.Response, []byte, error) {
 	response, err := a.httpClient.Do(request)
 	if err != nil {
 		return nil, nil, err
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -48,7 +47,7 @@
 		MaxIdleConnsPerHost: clientMaxIdleConns,
 		IdleConnTimeout:     clientIdleTimeout,
 		DisableCompression:  true,
-		DialContext:         (&net.Dialer{Timeout: clientConnectTimeout}).DialContext,
+		DialContext:         dialClient,
 	}
 	return &Clients{
 		ClientOptions: options,
