internal/upstream: name the check of unresponsive streams and the follower of a deadline plainly

abortIfSilentSince and EndIfSilentSince become ...IfUnresponsiveSince, follow becomes followChanges, get becomes current. Names and comments only; tests of upstream pass, linters clean.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -81,7 +81,7 @@
 		stream.LimitPauses()
 		return
 	}
-	stream.EndIfSilentSince(drainStartedAt)
+	stream.EndIfUnresponsiveSince(drainStartedAt)
 }
 
 // copyStream writes the first part of a body and then the remainder. It returns errClientWrite, or an error that wraps
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,7 +21,7 @@
 var pastDeadline = time.Time{}.Add(time.Nanosecond)
 
 // serverConn is a connection to a server. One attempt uses it at a time. Other goroutines may call only abort,
-// abortIfSilentSince and limitPauses.
+// abortIfUnresponsiveSince and limitPauses.
 type serverConn struct {
 	net.Conn
 	rawConn       syscall.RawConn
@@ -113,8 +113,8 @@
 	}
 }
 
-// abortIfSilentSince aborts the connection if the read in progress has waited since before t.
-func (c *serverConn) abortIfSilentSince(t time.Time) {
+// abortIfUnresponsiveSince aborts the connection if the read in progress has waited since before t.
+func (c *serverConn) abortIfUnresponsiveSince(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waitingSince.IsZero() && c.waitingSince.Before(t) {
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -169,9 +169,9 @@
 	}
 }
 
-// TestStreamEndsOnlyIfSilentSince checks that EndIfSilentSince ends a stream whose reader has waited since before the
+// TestStreamEndsOnlyIfUnresponsiveSince checks that EndIfUnresponsiveSince ends a stream whose reader has waited since before the
 // given time, and no other one.
-func TestStreamEndsOnlyIfSilentSince(t *testing.T) {
+func TestStreamEndsOnlyIfUnresponsiveSince(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
 			runWithPipe(t, func(t *testing.T, conn *serverConn, serverEnd net.Conn) {
@@ -189,7 +189,7 @@
 					writeByte(t, serverEnd)
 				}
 				synctest.Wait()
-				stream.EndIfSilentSince(since)
+				stream.EndIfUnresponsiveSince(since)
 				if !silent {
 					writeByte(t, serverEnd)
 				}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -80,7 +80,7 @@
 // server's dedupe window ends, so the last byte must not be written after it: the server does not process a request
 // whose last byte is missing.
 func (c *serverConn) writeRequest(deadline *SendDeadline, request encodedRequest) (written int, err error) {
-	stop := deadline.follow(func(at time.Time) {
+	stop := deadline.followChanges(func(at time.Time) {
 		_ = c.setWriteDeadline(at) // fails only on a closed connection
 	})
 	defer stop()
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -47,5 +47,6 @@
 // goroutine may call it.
 func (s *Stream) LimitPauses() { s.body.conn.limitPauses() }
 
-// EndIfSilentSince ends the stream if its reader has waited for the server since before t. Any goroutine may call it.
-func (s *Stream) EndIfSilentSince(t time.Time) { s.body.conn.abortIfSilentSince(t) }
+// EndIfUnresponsiveSince ends the stream if its reader has waited for the server since before t. Any goroutine may call
+// it.
+func (s *Stream) EndIfUnresponsiveSince(t time.Time) { s.body.conn.abortIfUnresponsiveSince(t) }
--- a/internal/upstream/send_deadline.go
+++ b/internal/upstream/send_deadline.go
@@ -45,7 +45,7 @@
 	}
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	cancelAtDeadline := func() {}
-	if at := d.get(); !at.IsZero() {
+	if at := d.current(); !at.IsZero() {
 		sendCtx, cancelAtDeadline = context.WithDeadlineCause(sendCtx, at, errSendDeadline)
 	}
 	stopWatching := d.whenPassed(func() { cancel(errSendDeadline) })
@@ -56,16 +56,16 @@
 	}
 }
 
-// get returns the deadline; zero means none.
-func (d *SendDeadline) get() time.Time {
+// current returns the deadline; zero means none.
+func (d *SendDeadline) current() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.at
 }
 
-// follow calls apply with the deadline, if there is one, and with each change of it until stop is called. If apply was
-// called, stop calls it with the zero time. An attempt has one follower at a time.
-func (d *SendDeadline) follow(apply func(at time.Time)) (stop func()) {
+// followChanges calls apply with the deadline, if there is one, and with each change of it until stop is called. If
+// apply was called, stop calls it with the zero time. An attempt has one follower at a time.
+func (d *SendDeadline) followChanges(apply func(at time.Time)) (stop func()) {
 	if d == nil {
 		return func() {}
 	}
@@ -100,7 +100,7 @@
 			expire()
 		}
 	}
-	return d.follow(func(at time.Time) {
+	return d.followChanges(func(at time.Time) {
 		if timer != nil {
 			timer.Stop()
 			timer = nil
