--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -169,8 +169,8 @@
 	}
 }
 
-// TestStreamEndsOnlyIfUnresponsiveSince checks that EndIfUnresponsiveSince ends a stream whose reader has waited since before the
-// given time, and no other one.
+// TestStreamEndsOnlyIfUnresponsiveSince checks that EndIfUnresponsiveSince ends a stream whose reader has waited since
+// before the given time, and no other one.
 func TestStreamEndsOnlyIfUnresponsiveSince(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
