--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,6 +30,7 @@
 // cases are the cases by name.
 var cases = map[string]play{
 	"upgrade-full": playUpgradeFull,
+	"upgrade-kill": playUpgradeKill,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
