--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,6 +29,7 @@
 
 // cases are the cases by name.
 var cases = map[string]play{
+	"bad-peers":    playBadPeers,
 	"endless":      playEndless,
 	"upgrade-full": playUpgradeFull,
 	"upgrade-kill": playUpgradeKill,
