--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]play{
 	"bad-peers":    playBadPeers,
 	"endless":      playEndless,
+	"late-body":    playLateBody,
 	"upgrade-full": playUpgradeFull,
 	"upgrade-kill": playUpgradeKill,
 }
