--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,8 +30,10 @@
 // cases are the cases by name.
 var cases = map[string]play{
 	"bad-peers":    playBadPeers,
+	"empty-lines":  playEmptyLines,
 	"endless":      playEndless,
 	"late-body":    playLateBody,
+	"partition":    playPartition,
 	"upgrade-full": playUpgradeFull,
 	"upgrade-kill": playUpgradeKill,
 }
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -16,6 +16,7 @@
 type server struct {
 	uid      string
 	podGroup int
+	address  string // where the sidecar reaches it
 	log      *record
 	listener net.Listener
 	handle   handler
@@ -30,7 +31,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{uid: uid, podGroup: podGroup, log: log, listener: l, handle: handle, conns: map[net.Conn]bool{}}
+	s := &server{
+		uid: uid, podGroup: podGroup, address: l.Addr().String(), log: log, listener: l, handle: handle,
+		conns: map[net.Conn]bool{},
+	}
 	go s.accept() // ends with stop
 	return s, nil
 }
@@ -38,7 +42,7 @@
 // entry returns the server's entry in discovery's list.
 func (s *server) entry(state string) entry {
 	return entry{
-		UID: s.uid, Endpoint: s.listener.Addr().String(), AZ: "reykjavik", Model: "standard", PodGroup: s.podGroup,
+		UID: s.uid, Endpoint: s.address, AZ: "reykjavik", Model: "standard", PodGroup: s.podGroup,
 		State: state, CapacityHint: 1,
 	}
 }
--- a/review/standin2/upgrade_full.go
+++ b/review/standin2/upgrade_full.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return 0, err
 	}
-	streams := w.startLongAnswers()
+	streams := w.startLongAnswers(longAnswers)
 	startedAt := time.Now()
 	if trouble {
 		console, err := freeAddress()
@@ -91,9 +91,9 @@
 
 // startLongAnswers sends requests with long answers, one after another on connections of their own. The caller may
 // wait until all have ended.
-func (w *world) startLongAnswers() *sync.WaitGroup {
+func (w *world) startLongAnswers(count int) *sync.WaitGroup {
 	var streams sync.WaitGroup
-	for i := range longAnswers {
+	for i := range count {
 		time.Sleep(longInterval)
 		streams.Add(1)
 		go func() {
