--- a/review/standin2/bad_peers.go
+++ b/review/standin2/bad_peers.go
@@ -78,7 +78,8 @@
 		return
 	}
 	defer c.Close()
-	r := &request{id: id, class: w.classes[2], timeout: seconds(w.classes[2].deadline), body: string(make([]byte, badLength))}
+	r := newRequest('x', 0, w.classes[2])
+	r.id, r.body = id, string(make([]byte, badLength))
 	if _, err := io.WriteString(c, r.head()); err != nil {
 		return
 	}
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -118,8 +118,8 @@
 const watchTime = 9 * time.Second
 
 // sendOnNewConn sends a request on a connection of its own, as a client does whose other connections are all busy. It
-// counts the request if it has had no final answer by half a second after its time, or none at all. An answer that broke
-// off by then has failed, as its client can tell. A connection that cannot be opened takes no request.
+// counts the request if it has had no final answer by half a second after its time, or none at all. An answer that
+// broke off by then has failed, as its client can tell. A connection that cannot be opened takes no request.
 func (w *world) sendOnNewConn(r *request, lost *tally) {
 	c, err := w.dial()
 	if err != nil {
--- a/review/standin2/upgrade_kill.go
+++ b/review/standin2/upgrade_kill.go
@@ -84,8 +84,8 @@
 	return c, err
 }
 
-// sendLate sends a request with a long answer on a resting connection. A connection that has been closed meanwhile takes
-// no request.
+// sendLate sends a request with a long answer on a resting connection. A connection that has been closed meanwhile
+// takes no request.
 func (w *world) sendLate(c *clientConn, r *request, lost *tally) {
 	answer, err := c.send(r, watchTime)
 	took := answer.took.Round(time.Millisecond)
