Review case 7: a spoilt refusal has an unsafe request executed a second time

Cause: the outcome of an answer that is no 200 is taken from its head, also where the answer cannot be read; a 503 with X-Not-Processed then counts as never executed. Change: the case; it takes the place of the late body, whose play stays.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,4 @@
     echo 'run the build of deploy/balancer.toml and review/build-2.sh first' >&2
     exit 2
 fi
-exec bin/review-standin2 late-body "$here/record.txt"
+exec bin/review-standin2 partition "$here/record.txt"
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -34,6 +34,7 @@
 	"endless":      playEndless,
 	"late-body":    playLateBody,
 	"partition":    playPartition,
+	"spoilt":       playSpoiltRefusal,
 	"upgrade-full": playUpgradeFull,
 	"upgrade-kill": playUpgradeKill,
 }
