upstream: count a refusal as not executed only if it can be read completely

Cause: serverConn.readResponse took the outcome of a response other than 200 from its head. A 503 with X-Not-Processed counted as never executed also where its framing was ambiguous, and balance then sent the request again. Ruled out: a reused connection (the second execution is at another server) and a hedged request (it follows within 1 ms). Change: verifyRefusal reads the rest of a refusal and fails if it is ambiguous, malformed, incomplete or followed by more bytes; X-Not-Processed must have one value. First attempts, retries and hedged requests all pass there.

--- a/internal/sidecar/retry_test.go
+++ b/internal/sidecar/retry_test.go
@@ -14,6 +14,7 @@
 // its class and on the kind of failure.
 func TestRetriesFollowEffectOfClass(t *testing.T) {
 	reject := testserver.Respond(503, "X-Not-Processed: 1\r\n", "")
+	ambiguousReject := testserver.Respond(503, "X-Not-Processed: 1\r\nContent-Length: 7\r\n", "refuse")
 	for _, tt := range []struct {
 		name     string
 		class    string
@@ -24,12 +25,15 @@
 		{"idempotent after an error", "read", testserver.Respond(500, "", ""), 200, 2},
 		{"idempotent after a reset", "read", testserver.ResetConnection, 200, 2},
 		{"idempotent, rejected", "read", reject, 200, 2},
+		{"idempotent, rejected ambiguously", "read", ambiguousReject, 200, 2},
 		{"with a key after an error", "book", testserver.Respond(500, "", ""), 200, 2},
 		{"with a key after a reset", "book", testserver.ResetConnection, 200, 2},
 		{"with a key, rejected", "book", reject, 200, 2},
+		{"with a key, rejected ambiguously", "book", ambiguousReject, 200, 2},
 		{"not idempotent, after an error", "pay", testserver.Respond(500, "", ""), 502, 1},
 		{"not idempotent, after a reset", "pay", testserver.ResetConnection, 502, 1},
 		{"not idempotent, rejected", "pay", reject, 200, 2},
+		{"not idempotent, rejected ambiguously", "pay", ambiguousReject, 502, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			faults := make(chan bool, 1)
@@ -62,6 +66,29 @@
 	}
 }
 
+// TestUnsafeRequestIsNotRepeatedAfterAmbiguousRefusalOfRetry guards against a request of an unsafe class that is executed
+// twice because a refusal is ambiguous: the first server refuses it, the retry gets an ambiguous refusal, and no third
+// server gets the request.
+func TestUnsafeRequestIsNotRepeatedAfterAmbiguousRefusalOfRetry(t *testing.T) {
+	responses := make(chan testserver.Handler, 2)
+	responses <- testserver.Respond(503, "X-Not-Processed: 1\r\n", "")
+	responses <- testserver.Respond(503, "X-Not-Processed: 1\r\nContent-Length: 7\r\n", "refuse")
+	attempts := make(chan string, 10)
+	do := func(c net.Conn, r *http.Request, body []byte) bool {
+		attempts <- r.Header.Get("X-Request-ID")
+		select {
+		case respond := <-responses:
+			return respond(c, r, body)
+		default:
+			return testserver.Respond(200, "", "executed again")(c, r, body)
+		}
+	}
+	p := startWithBackends(t, testserver.StartBackend(t, do), testserver.StartBackend(t, do), testserver.StartBackend(t, do))
+	if got := p.Send("pay"); got.Status != http.StatusBadGateway || len(attempts) != 2 {
+		t.Errorf("status %d after %d attempts, want 502 after 2", got.Status, len(attempts))
+	}
+}
+
 // TestRefusedConnectionsCauseRejection: if every server refuses connections, requests of every class are rejected, as
 // no server can have processed them.
 func TestRefusedConnectionsCauseRejection(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -160,6 +160,19 @@
 	return err == nil && nothingToRead
 }
 
+// hasUnreadInput reports whether bytes that were not parsed have arrived. It does not consume them.
+func (c *serverConn) hasUnreadInput() bool {
+	if c.reader.Buffered() > 0 {
+		return true
+	}
+	unread := 0
+	_ = c.rawConn.Read(func(fd uintptr) bool { // fails only on a closed connection
+		unread, _ = netretry.Peek(int(fd)) // on failure nothing can be read
+		return true
+	})
+	return unread > 0
+}
+
 // undeliveredBytes returns the number of written bytes whose receipt the server's machine has not acknowledged. It
 // returns 0 if the system does not tell.
 func (c *serverConn) undeliveredBytes() (n int) {
--- a/internal/upstream/response_parser.go
+++ b/internal/upstream/response_parser.go
@@ -32,16 +32,22 @@
 
 // outcome returns the outcome of the request according to the status code and X-Not-Processed.
 func (h *responseHead) outcome() balance.Outcome {
-	notProcessed := h.header.Get("X-Not-Processed") == "1"
 	switch {
 	case h.status == http.StatusOK:
 		return balance.Served
-	case (h.status == http.StatusServiceUnavailable || h.status == http.StatusGatewayTimeout) && notProcessed:
+	case (h.status == http.StatusServiceUnavailable || h.status == http.StatusGatewayTimeout) && h.isNotProcessed():
 		return balance.Saturated
 	}
 	return balance.Errored
 }
 
+// isNotProcessed reports whether the response says that the server has not processed the request. Several values of the
+// field may contradict each other.
+func (h *responseHead) isNotProcessed() bool {
+	values := h.header["X-Not-Processed"]
+	return len(values) == 1 && values[0] == "1"
+}
+
 // readResponse reads the response to the current request. reusable reports whether the connection can carry another
 // request, which requires that no bytes follow the response. http.ReadResponse is too lenient: it accepts a duplicate
 // Content-Length, a Content-Length together with a chunked body, and a truncated body of unknown length.
@@ -52,9 +58,19 @@
 		return Response{}, false, err
 	}
 	r.Outcome = head.outcome()
-	if r.Outcome != balance.Served {
-		return r, c.discardBody(&head), nil
+	switch r.Outcome {
+	case balance.Served:
+		return c.readServedBody(&head)
+	case balance.Saturated:
+		reusable, err = c.verifyRefusal(&head)
+		return r, reusable, err
 	}
+	return r, c.discardBody(&head), nil
+}
+
+// readServedBody reads the body of a response with status 200, or the first part of a long one.
+func (c *serverConn) readServedBody(head *responseHead) (r Response, reusable bool, err error) {
+	r.Outcome = balance.Served
 	r.Body, r.Remainder, err = c.readBody(head.header)
 	if err != nil {
 		return Response{}, false, err
@@ -67,8 +83,32 @@
 	return r, c.isReusable() && !head.closesConnection(), nil
 }
 
-// discardBody reads and discards the body of a response whose outcome is not Served, and reports whether the connection
-// is reusable. The body has no effect on the outcome. discardBody does not read a close-delimited body, which may never
+// verifyRefusal reads the rest of a response whose head says that the request was not processed. A request of an unsafe
+// class is sent again after such a response, so the head alone does not suffice: verifyRefusal returns an error if the
+// response is ambiguous, malformed or incomplete, or if more bytes follow it. Like discardBody, it does not await the
+// end of a close-delimited body.
+func (c *serverConn) verifyRefusal(head *responseHead) (reusable bool, err error) {
+	if isCloseDelimited(head.header) {
+		return false, nil
+	}
+	readTimeout := c.readTimeout
+	_, rest, err := c.readBody(head.header)
+	if err != nil {
+		return false, err
+	}
+	if rest != nil {
+		rest.SetReadTimeout(readTimeout)
+		_, err = io.Copy(io.Discard, rest)
+		return false, c.classifyReadError(err)
+	}
+	if c.hasUnreadInput() {
+		return false, malformed("unexpected bytes after the response")
+	}
+	return c.isReusable() && !head.closesConnection(), nil
+}
+
+// discardBody reads and discards the body of a response with the outcome Errored, and reports whether the connection is
+// reusable. The body has no effect on the outcome. discardBody does not read a close-delimited body, which may never
 // end. It reads only the first part of a long body, and the connection is then not reusable.
 func (c *serverConn) discardBody(head *responseHead) (reusable bool) {
 	if isCloseDelimited(head.header) {
@@ -122,10 +162,10 @@
 	return status, nil
 }
 
-// classifyReadError returns err if the connection failed, and a malformed-response error otherwise.
+// classifyReadError returns err if it is nil or the connection failed, and a malformed-response error otherwise.
 func (c *serverConn) classifyReadError(err error) error {
 	var netErr net.Error
-	if errors.As(err, &netErr) {
+	if err == nil || errors.As(err, &netErr) {
 		return err
 	}
 	// At the limit of limitedReader, an EOF does not come from the connection.
--- a/internal/upstream/response_parser_test.go
+++ b/internal/upstream/response_parser_test.go
@@ -62,6 +62,70 @@
 	}
 }
 
+// TestUnreadableRefusalMayHaveRun guards against a request of an unsafe class that is executed twice: a refusal that is
+// ambiguous, malformed, incomplete or followed by more bytes does not prove that the request was not processed.
+func TestUnreadableRefusalMayHaveRun(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for _, tt := range []struct{ name, rest string }{
+		{"two lengths", "X-Not-Processed: 1\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nrefuse"},
+		{"length together with chunks", "X-Not-Processed: 1\r\nContent-Length: 2\r\n" + chunked + "\r\n0\r\n\r\n"},
+		{"invalid length", "X-Not-Processed: 1\r\nContent-Length: +2\r\n\r\nno"},
+		{"unknown coding", "X-Not-Processed: 1\r\nTransfer-Encoding: gzip\r\n\r\nno"},
+		{"malformed chunks", "X-Not-Processed: 1\r\n" + chunked + "\r\nzz\r\nno\r\n0\r\n\r\n"},
+		{"malformed chunk after a long one", "X-Not-Processed: 1\r\n" + chunked + "\r\n" +
+			fmt.Sprintf("%x\r\n%s\r\n", 2*MaxBufferedBody, strings.Repeat("x", 2*MaxBufferedBody)) + "zz\r\n"},
+		{"stalled body", "X-Not-Processed: 1\r\nContent-Length: 10\r\n\r\nhalf"},
+		{"stalled chunk", "X-Not-Processed: 1\r\n" + chunked + "\r\n8\r\nhalf"},
+		{"contradictory fields", "X-Not-Processed: 1\r\nX-Not-Processed: 0\r\nConnection: close\r\nContent-Length: 2\r\n\r\nno"},
+		{"bytes behind the body", "X-Not-Processed: 1\r\nContent-Length: 2\r\n\r\nnothing"},
+		{"response behind the body", "X-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+	} {
+		for _, status := range []string{"503 Service Unavailable", "504 Gateway Timeout"} {
+			t.Run(tt.name+", "+status, func(t *testing.T) {
+				t.Parallel() // a case mostly waits for its server
+				client := newTestClient(t, testserver.StartBackend(t, respondRaw("HTTP/1.1 "+status+"\r\n"+tt.rest)))
+				client.responseReadTimeoutNanos.Store(int64(100 * time.Millisecond))
+				response := sendRequest(client, "s-0", newPostRequest(""))
+				if response.Outcome != balance.Errored {
+					t.Errorf("outcome %d, want Errored", response.Outcome)
+				}
+				if client.pool.openConns != 0 {
+					t.Errorf("%d connections are open, want 0", client.pool.openConns)
+				}
+			})
+		}
+	}
+}
+
+// TestRefusalsInPiecesAreRecognized checks that a refusal is recognized although its body arrives in pieces with pauses,
+// and that its connection is reused if nothing follows the body.
+func TestRefusalsInPiecesAreRecognized(t *testing.T) {
+	const pause = 2 * unknownLengthBufferTime
+	for _, tt := range []struct {
+		name, first, second string
+		openConns           int
+	}{
+		{"declared length", "Content-Length: 4\r\n\r\nno", "pe", 1},
+		{"chunked", "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n", "0\r\n\r\n", 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			backend := testserver.StartBackend(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\n"+tt.first)
+				time.Sleep(pause)
+				_, _ = io.WriteString(conn, tt.second)
+				return true
+			})
+			client := newTestClient(t, backend)
+			response := sendRequest(client, "s-0", newPostRequest(""))
+			if response.Outcome != balance.Saturated || client.pool.openConns != tt.openConns {
+				t.Errorf("outcome %d, %d connections open, want Saturated and %d", response.Outcome,
+					client.pool.openConns, tt.openConns)
+			}
+		})
+	}
+}
+
 // TestCloseDelimitedBodyEndsWithOrderlyClose checks that a body without a declared length is complete when the server
 // closes the connection in an orderly way, regardless of the Connection header. After a reset it may be incomplete.
 func TestCloseDelimitedBodyEndsWithOrderlyClose(t *testing.T) {
--- a/internal/upstream/response_stream_test.go
+++ b/internal/upstream/response_stream_test.go
@@ -13,26 +13,30 @@
 	"milletramp.example/milletramp/internal/lab/testserver"
 )
 
-// TestErrorResponseWithLongBodyIsNotStreamed checks that the outcome of an error response with a long or truncated body
-// depends on its head alone. The body is not streamed, and the connection is closed.
+// TestErrorResponseWithLongBodyIsNotStreamed checks that the body of an error response is not streamed, and that the
+// connection is closed. The outcome of a response that is complete depends on its head alone. A refusal whose body is
+// truncated does not prove that the request was not processed.
 func TestErrorResponseWithLongBodyIsNotStreamed(t *testing.T) {
 	long := strings.Repeat("x", MaxBufferedBody+1)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(long), long)
 	for _, status := range []struct {
-		line string
-		want balance.Outcome
+		line            string
+		complete, short balance.Outcome // outcomes of a complete and of a truncated response
 	}{
-		{"HTTP/1.1 500 X\r\n", balance.Errored},
-		{"HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\n", balance.Saturated},
+		{"HTTP/1.1 500 X\r\n", balance.Errored, balance.Errored},
+		{"HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\n", balance.Saturated, balance.Reset},
 	} {
-		for _, body := range []struct{ name, text string }{
-			{"long", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long)},
-			{"long and chunked", "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n"},
-			{"truncated", "Content-Length: 10\r\n\r\nhalf"},
-			{"truncated in a chunk", "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf"},
+		for _, body := range []struct {
+			name, text string
+			want       balance.Outcome
+		}{
+			{"long", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long), status.complete},
+			{"long and chunked", "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n", status.complete},
+			{"truncated", "Content-Length: 10\r\n\r\nhalf", status.short},
+			{"truncated in a chunk", "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf", status.short},
 		} {
-			t.Run(fmt.Sprintf("outcome %d, %s", status.want, body.name), func(t *testing.T) {
-				expectOutcomeWithoutBody(t, status.line+body.text, status.want)
+			t.Run(fmt.Sprintf("outcome %d, %s", status.complete, body.name), func(t *testing.T) {
+				expectOutcomeWithoutBody(t, status.line+body.text, body.want)
 			})
 		}
 	}
