Keep long responses going while their server is cut off from the network

Cause: one time of 5 s, MaxStreamPause, stood for how long a server may be silent, how long a client may take for a part, and how long silence may hold connections. Silence alone does not tell a server that is cut off from one that is gone. Ruled out: the write deadline of the client's connection (another error), and connections closed with a server that failed (only idle ones are). Change: a server may be silent for 30 s in a body that is not due yet: two cuts of 6 s in a row, and as long again until TCP retransmits. 5 s remain once the client has gone, and where connections from clients, connections to servers or places in flight run out; the response whose server has been silent for the longest time then ends. TestStalledResponsesAreCut has its bound of 4 s as a constant of its own. Tests of upstream, downstream, proxy, sidecar, hotrestart and deploy pass with the race detector.

--- a/internal/downstream/stalled_body_test.go
+++ b/internal/downstream/stalled_body_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// TestSilentResponseGivesWayToNewConnection guards against silent servers whose responses keep all connections: a
+// connection that waits at the limit calls for the end of a response, again and again until one ends.
+func TestSilentResponseGivesWayToNewConnection(t *testing.T) {
+	l, c, client := acceptConn(t, 1)
+	fmt.Fprint(client, "GET /api HTTP/1.1\r\nHost: x\r\n\r\n")
+	if _, err := c.Read(make([]byte, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	l.SetEndSilentResponse(func() time.Duration {
+		if calls++; calls == 2 {
+			go func() { _ = c.Close() }() // as the handler of the response does
+			go l.onHTTPState(c, http.StateClosed)
+		}
+		return time.Millisecond
+	})
+	testserver.Receive(t, acceptNext(t, l), "new connection")
+	if calls < 2 {
+		t.Errorf("%d calls for the end of a response, want 2 at least", calls)
+	}
+}
+
 // TestUnreadBodyIsNotStalled checks that a body is not ended while its handler leaves bytes of it unread.
 func TestUnreadBodyIsNotStalled(t *testing.T) {
 	l, c, client := acceptConn(t, 1)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -17,12 +17,18 @@
 	// streamBufferSize is the size in bytes of the buffer for a streamed body.
 	streamBufferSize = 16 << 10
 	// clientSendBuffer is the size in bytes of the send buffer of the client's connection. A full send buffer accepts
-	// data again once a third of it is free. With a large buffer, a slow client could need more than MaxStreamPause to
-	// free a third.
+	// data again once a third of it is free. With a large buffer, a slow client could need more than partWriteTimeout
+	// to free a third.
 	clientSendBuffer = 64 << 10
-	// MaxStreamPause is the maximum time for which a server may pause in a streamed body, and the maximum time in which
-	// a client has to receive one part of it.
-	MaxStreamPause = 5 * time.Second
+	// partWriteTimeout is the maximum time in which a client has to receive one part of a streamed body.
+	partWriteTimeout = 5 * time.Second
+	// maxServerSilence is the maximum time for which a server may be silent in a streamed body that is not due at the
+	// client's deadline. A server that is cut off from the network is silent on open connections, and continues when
+	// the network is back: after two cuts of 6 s in a row, and as long again until TCP retransmits. The limit frees
+	// the connections of servers that never come back.
+	maxServerSilence = 30 * time.Second
+	// abandonedSilence replaces maxServerSilence once the client has closed its sending side.
+	abandonedSilence = 5 * time.Second
 	// lateResponseGrace is the time after the client's deadline by which a body of at most upstream.MaxBufferedBody
 	// bytes has to end. Clients count a response as lost 0.5 s after the deadline.
 	lateResponseGrace = 250 * time.Millisecond
@@ -50,6 +56,7 @@
 	}
 	isComplete := false
 	defer func() { response.remainder.Finish(isComplete) }()
+	defer context.AfterFunc(r.Context(), func() { response.remainder.LimitSilence(abandonedSilence) })()
 	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(response.remainder, request) })()
 	response.writeContentType(w)
 	if length := response.remainder.Length(); length >= 0 {
@@ -114,15 +121,15 @@
 // client with the given deadline.
 func allowedPause(length int64, deadline time.Time) time.Duration {
 	if length > upstream.MaxBufferedBody {
-		return MaxStreamPause
+		return maxServerSilence
 	}
 	remaining := time.Until(deadline.Add(lateResponseGrace))
-	return min(MaxStreamPause, max(remaining, minStreamPause))
+	return min(maxServerSilence, max(remaining, minStreamPause))
 }
 
 // writePart writes one part of a body, with a write deadline of its own.
 func writePart(w http.ResponseWriter, conn *http.ResponseController, part []byte) error {
-	if err := conn.SetWriteDeadline(time.Now().Add(MaxStreamPause)); err != nil {
+	if err := conn.SetWriteDeadline(time.Now().Add(partWriteTimeout)); err != nil {
 		return err
 	}
 	if _, err := w.Write(part); err != nil {
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"milletramp.example/milletramp/internal/lab/testserver"
-	"milletramp.example/milletramp/internal/proxy"
 	"milletramp.example/milletramp/internal/upstream"
 )
 
@@ -20,6 +19,7 @@
 // that the client can detect that it is incomplete. A response that its server still sends in small pieces, and a long
 // response that pauses for the same time, are streamed to their ends.
 func TestStalledResponsesAreCut(t *testing.T) {
+	const maxStall = 4 * time.Second // much longer than the client's timeout and the grace period
 	const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n"
 	stop := make(chan struct{})
 	defer close(stop)
@@ -70,7 +70,7 @@
 			began := time.Now()
 			body, err := io.ReadAll(resp.Body)
 			resp.Body.Close()
-			if took := time.Since(began); tt.cut && took > proxy.MaxStreamPause-time.Second {
+			if took := time.Since(began); tt.cut && took > maxStall {
 				t.Errorf("aborted after %v", took)
 			}
 			if tt.cut != errors.Is(err, io.ErrUnexpectedEOF) || tt.long && len(body) != upstream.MaxBufferedBody+1 {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -149,6 +149,7 @@
 
 // awaitStream passes a long response to StartStreaming and waits until the stream of its rest is finished.
 func (a *attempt) awaitStream(response Response) (reusable bool, err error) {
+	defer a.client.pool.streams.add(response.Remainder.body.conn)()
 	if !a.request.StartStreaming(response) {
 		return false, errStreamDeclined
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,6 +56,11 @@
 // SetMaxConns changes the maximum number of open connections to servers.
 func (c *Client) SetMaxConns(n int) { c.pool.setMaxConns(n) }
 
+// EndSilentStream ends the stream whose server has been silent for the longest time, to free its connections for other
+// requests. It ends none if no server has been silent for several seconds. It returns how long to wait before the next
+// call.
+func (c *Client) EndSilentStream() (wait time.Duration) { return c.pool.streams.endLongestSilent() }
+
 // Configure applies new limits. The read timeout within a response equals the connect timeout. The idle timeout is half
 // of the time after which servers close idle connections, so that a close by the server does not coincide with a new
 // request on the connection.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,8 +20,8 @@
 // pastDeadline is a deadline that is always in the past. The zero time would mean no deadline.
 var pastDeadline = time.Time{}.Add(time.Nanosecond)
 
-// serverConn is a connection to a server. One attempt uses it at a time. Other goroutines may call only abort,
-// abortIfUnresponsiveSince and limitPauses.
+// serverConn is a connection to a server. One attempt uses it at a time. Other goroutines may call only the methods
+// that lock mu.
 type serverConn struct {
 	net.Conn
 	rawConn       syscall.RawConn
@@ -37,6 +37,7 @@
 
 	mu             sync.Mutex
 	aborted        bool          // every read and write fails
+	yielded        bool          // aborted because it was silent and connections were needed
 	waitingSince   time.Time     // start of the read with a read timeout that is in progress; zero: none
 	longestPause   time.Duration // longest wait of such a read for the bytes of the present stream
 	maxReadTimeout time.Duration // upper bound of readTimeout; 0: none
@@ -95,24 +96,66 @@
 	c.waitingSince = time.Time{}
 }
 
-// resetPauses forgets the pauses of the previous response, and of the first part of the present one.
+// resetPauses forgets the pauses of the previous response and their limit, and the pauses of the first part of the
+// present one.
 func (c *serverConn) resetPauses() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.longestPause = 0
+	c.maxReadTimeout = 0
 }
 
 // limitPauses limits the read timeout to shutdownPauseFactor times the longest pause so far, but to no less than
-// shutdownReadTimeout. The limit applies to the read in progress as well, from its start.
+// shutdownReadTimeout.
 func (c *serverConn) limitPauses() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.maxReadTimeout = max(shutdownReadTimeout, shutdownPauseFactor*c.longestPause)
+	c.limitReadTimeoutLocked(max(shutdownReadTimeout, shutdownPauseFactor*c.longestPause))
+}
+
+// limitReadTimeout limits the read timeout. The limit applies to the read in progress as well, from its start.
+func (c *serverConn) limitReadTimeout(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limitReadTimeoutLocked(limit)
+}
+
+// limitReadTimeoutLocked is limitReadTimeout for a caller that holds c.mu.
+func (c *serverConn) limitReadTimeoutLocked(limit time.Duration) {
+	if c.maxReadTimeout > 0 {
+		limit = min(limit, c.maxReadTimeout)
+	}
+	c.maxReadTimeout = limit
 	if !c.aborted && !c.waitingSince.IsZero() {
 		_ = c.SetReadDeadline(c.waitingSince.Add(c.maxReadTimeout)) // fails only on a closed connection
 	}
 }
 
+// silence returns how long the read in progress has waited, or 0 if there is none or the connection is aborted.
+func (c *serverConn) silence() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted || c.waitingSince.IsZero() {
+		return 0
+	}
+	return time.Since(c.waitingSince)
+}
+
+// yield aborts the connection because it is needed for other requests.
+func (c *serverConn) yield() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.yielded = true
+	c.abortLocked()
+}
+
+// hasYielded reports whether yield was called.
+func (c *serverConn) hasYielded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.yielded
+}
+
 // abortIfUnresponsiveSince aborts the connection if the read in progress has waited since before t.
 func (c *serverConn) abortIfUnresponsiveSince(t time.Time) {
 	c.mu.Lock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 type pool struct {
 	dial       discovery.DialFunc // nil: over TCP
 	reuseDelay time.Duration      // minimum idle time of a connection before its next request
+	streams    *streamSet         // responses being streamed; a silent one may end at the connection limit
 
 	connectTimeoutNanos atomic.Int64 // timeout for opening a connection
 	idleTimeoutNanos    atomic.Int64 // maximum idle time of a connection
@@ -34,16 +36,25 @@
 }
 
 func newPool(maxConns int) *pool {
-	return &pool{maxConns: maxConns, idleConns: list.New(), reuseDelay: defaultReuseDelay}
+	return &pool{
+		maxConns:   maxConns,
+		idleConns:  list.New(),
+		reuseDelay: defaultReuseDelay,
+		streams:    newStreamSet(),
+	}
 }
 
 // idleTimeout returns the maximum idle time of a connection.
 func (p *pool) idleTimeout() time.Duration { return time.Duration(p.idleTimeoutNanos.Load()) }
 
 // acquire returns a connection to a server: a usable idle connection if there is one, otherwise a new one. It fails
-// with errConnLimit if the connection limit is reached and no connection is idle.
+// with errConnLimit if the connection limit is reached and no connection is idle. A stream whose server is silent is
+// then ended, so that later requests find a connection.
 func (p *pool) acquire(ctx context.Context, target *server) (*serverConn, error) {
 	conn, err := p.popIdleOrReserve(target)
+	if errors.Is(err, errConnLimit) {
+		p.streams.endLongestSilent()
+	}
 	if conn != nil || err != nil {
 		return conn, err
 	}
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -32,7 +32,13 @@
 
 // Read implements io.Reader. It waits only until some bytes are available. After any error except io.EOF and
 // os.ErrDeadlineExceeded, the rest of the body is lost.
-func (s *Stream) Read(p []byte) (int, error) { return s.body.Read(p) }
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if err != nil && s.body.conn.hasYielded() {
+		err = errStreamYielded
+	}
+	return n, err
+}
 
 // Length returns the declared length of the complete body in bytes, or -1 if none is declared.
 func (s *Stream) Length() int64 { return s.body.length }
@@ -47,6 +53,9 @@
 // goroutine may call it.
 func (s *Stream) LimitPauses() { s.body.conn.limitPauses() }
 
+// LimitSilence limits the wait for the next bytes, also in the read in progress. Any goroutine may call it.
+func (s *Stream) LimitSilence(limit time.Duration) { s.body.conn.limitReadTimeout(limit) }
+
 // EndIfUnresponsiveSince ends the stream if its reader has waited for the server since before t. Any goroutine may call
 // it.
 func (s *Stream) EndIfUnresponsiveSince(t time.Time) { s.body.conn.abortIfUnresponsiveSince(t) }
