sidecar: let a process use what the other one leaves free during an upgrade

Cause: a second process halved each limit of the first one, also below what it had in use. Its accept loop then waited for long answers to end, while the second process used almost nothing of its half. Ruled out: connections at a listener that nobody accepts from, and the garbage collector at the halved memory limit. Change: each process publishes in its state file what it uses of the limits, and may use what the others leave free: half at least, and a quarter more than it uses between two looks. Client connections, connections to servers and requests in flight follow the same rule. Processes of earlier builds, which publish nothing, count with a half. Tests: TestLongResponsesLeaveRoomInUpgrade failed before (a request unanswered after 5 s).

--- a/internal/hotrestart/state.go
+++ b/internal/hotrestart/state.go
@@ -33,6 +33,16 @@
 	Generation uint64   `json:"generation,omitempty"`
 	Phase      Phase    `json:"phase"`
 	AdminDown  []string `json:"out"` // IDs of the servers that are administratively down
+	// Usage is what the process uses of the sidecar's limits. Nil means that it has not published it, or that its build
+	// does not.
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+// Usage is what a process uses of the limits that all processes of a sidecar share.
+type Usage struct {
+	ClientConns   int `json:"client_conns"`   // open connections from clients
+	UpstreamConns int `json:"upstream_conns"` // open connections to servers
+	Requests      int `json:"requests"`       // requests in flight
 }
 
 // Compare orders the processes of a sidecar, the oldest first. The wall clock may step, so start times are compared
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -101,30 +101,25 @@
 	p.log.Info("serving", "name", p.config.Name, "address", listener.Addr().String())
 }
 
-// watchProcessGroup divides the limits of the sidecar among its processes each time their number changes.
+// watchProcessGroup divides the limits of the sidecar among its processes, anew at each poll while there are others.
 func (p *process) watchProcessGroup(ctx context.Context, hasPredecessor bool) {
 	group := p.operator.group
+	if hasPredecessor {
+		group.processCount.Store(maxProcessCount)
+		setMemoryLimit(p.config, maxProcessCount)
+		p.divideLimits(group.others())
+	}
 	p.background.Add(1)
 	go func() { // ends with ctx
 		defer p.background.Done()
-		group.watch(ctx, func(processes int) {
-			p.log.Info("number of sidecar processes changed", "count", processes)
-			p.setProcessCount(processes)
+		group.watch(ctx, func(others []hotrestart.State, processes int, changed bool) {
+			if changed {
+				p.log.Info("number of sidecar processes changed", "count", processes)
+				setMemoryLimit(p.config, processes)
+			}
+			p.divideLimits(others)
 		})
 	}()
-	if hasPredecessor {
-		group.processCount.Store(2)
-		p.setProcessCount(2)
-	}
-}
-
-// setProcessCount sets the limits of this process to its share of the sidecar's limits.
-func (p *process) setProcessCount(processes int) {
-	budget := newSocketBudget(p.config)
-	p.handler.SetMaxInFlight(budget.Requests / processes)
-	p.conns.SetLimits(budget.ClientConns/processes, max(budget.KeepAliveConns/processes, 1))
-	p.loop.Upstream().SetMaxConns(budget.UpstreamConns / processes)
-	setMemoryLimit(p.config, processes)
 }
 
 // awaitStop waits until stop is done. It publishes to the process group that this process is ready once it has an
--- a/internal/sidecar/process_group.go
+++ b/internal/sidecar/process_group.go
@@ -18,10 +18,14 @@
 // ended.
 const processPollInterval = 250 * time.Millisecond
 
+// maxProcessCount is the maximum number of processes that are counted. Two processes serve during a hot restart.
+const maxProcessCount = 2
+
 // processGroup is the group of processes of this sidecar: usually one, two during a hot restart.
 type processGroup struct {
 	member       *hotrestart.Member // nil: other processes cannot be discovered
-	processCount atomic.Int32       // number of processes, capped at 2
+	published    *hotrestart.Usage  // last published usage of this process; nil: none
+	processCount atomic.Int32       // number of processes, capped at maxProcessCount
 }
 
 // joinProcessGroup joins the group of this sidecar's processes, which share a temporary directory. Without TMPDIR, or
@@ -48,6 +52,19 @@
 	return g
 }
 
+// others returns the states of the other processes of the group.
+func (g *processGroup) others() []hotrestart.State { return g.member.Others() }
+
+// publishUsage publishes what this process uses of the sidecar's limits, unless that is already published. A failed
+// write is logged and retried. Only the goroutine of watch calls it, and the one that starts that goroutine before.
+func (g *processGroup) publishUsage(usage hotrestart.Usage) {
+	if g.published != nil && *g.published == usage {
+		return
+	}
+	g.published = &usage
+	_ = g.member.Update(func(s *hotrestart.State) { s.Usage = &usage })
+}
+
 // hasOthers reports whether the group has other processes.
 func (g *processGroup) hasOthers() bool { return len(g.member.Others()) > 0 }
 
@@ -105,8 +122,10 @@
 	})
 }
 
-// watch calls onChange each time the number of processes changes, until ctx ends.
-func (g *processGroup) watch(ctx context.Context, onChange func(processes int)) {
+// watch calls onPoll at each poll while there are other processes, and when the last of them has ended, until ctx ends.
+// changed reports whether the number of processes has changed since the last call.
+func (g *processGroup) watch(ctx context.Context,
+	onPoll func(others []hotrestart.State, processes int, changed bool)) {
 	if g.member == nil {
 		return
 	}
@@ -126,12 +145,11 @@
 			continue
 		}
 		lastRevision = revision
-		processes := int32(1)
-		if g.hasOthers() {
-			processes = 2
-		}
-		if g.processCount.Swap(processes) != processes {
-			onChange(int(processes))
+		others := g.others()
+		processes := min(1+len(others), maxProcessCount)
+		changed := int(g.processCount.Swap(int32(processes))) != processes
+		if changed || len(others) > 0 {
+			onPoll(others, processes, changed)
 		}
 	}
 }
