Begin no long response to a request that comes late in a drain

Cause: the old process kept idle connections for 2.2 s, and began long answers without a look at the time left. Evidence: each request comes on a connection opened before SIGTERM, and all answers end within 2 ms after the SIGKILL. Ruled out: new connections at the old process, and answers that it ends itself. A slow head or body shows the same. Change: the limit is KillExemption, 0.7 s less a stall of 0.15 s. With a successor, idle connections close then, and later requests are rejected without an attempt, also in the middle of a body. Without one, a short response is served as before, and a long one is not begun: 503, or 502 where a retry could do harm. Tests: failed before: TestUpgradeRejectsLateRequests and TestDrainStreamsNoLateResponses in 6 of 6 cases each, TestUpgradeRejectsSlowBodiesWithoutTheirEnds, and TestUpgradeClosesIdleConnectionsBeforeLateRequests (closed after 2.0 s). Two tests asked for the opposite: the late cases of TestDrainKeepsStreamsThatContinue (a long answer that goes on beyond the earliest kill) are early ones now, and the late ones stand in the tests above; TestDrainEndsStalledStreamsBeforeKill is replaced by TestDrainStreamsNoLateResponses, whose server stalls. TestLimitOfPausesFollowsPaceOfServer goes with limitPauses, which nothing calls any more; its two sisters test limitReadTimeout in the same way. Seven mutations are caught. Tests of upstream, proxy, sidecar and deploy pass with the race detector.

--- a/internal/proxy/api.go
+++ b/internal/proxy/api.go
@@ -103,11 +103,17 @@
 	}
 	request.receivedAt = receivedAt
 	request.deadline = receivedAt.Add(timeout - responseMargin)
-	if h.draining.Load() {
-		shutdownAt := h.drainSchedule.Load().shutdownAt
-		if shutdownAt.Before(request.deadline) {
-			request.deadline = shutdownAt
-		}
+	if !h.draining.Load() {
+		return request, nil
+	}
+	schedule := h.drainSchedule.Load()
+	if schedule.rejectsLate && receivedAt.After(schedule.lateFrom) {
+		request.dropBody()
+		request.counters.Rejected.Add(1)
+		return nil, errShuttingDown
+	}
+	if schedule.shutdownAt.Before(request.deadline) {
+		request.deadline = schedule.shutdownAt
 	}
 	return request, nil
 }
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -86,12 +86,17 @@
 	}
 }
 
-// startStreaming reports whether the rest of a long response is to be streamed to the client. If so, it completes the
-// request and reports the attempt to the Balancer as finished before any byte is written, so that a client never
-// receives parts of two responses.
+// startStreaming reports whether the rest of a long response is to be streamed to the client. A request that was
+// received late in a drain ends instead, as the process may be killed before the end of the stream. Otherwise it
+// completes the request and reports the attempt to the Balancer as finished before any byte is written, so that a
+// client never receives parts of two responses.
 func (l *EventLoop) startStreaming(a attempt, response upstream.Response) bool {
 	decided := make(chan bool, 1)
 	l.Post(func() {
+		if !a.request.completed.Load() && l.isLate(a.request) {
+			l.log.Warn("long response dropped, as the process ends", "class", a.request.Name)
+			l.abandon(a.request)
+		}
 		if a.request.completed.Load() {
 			decided <- false
 			return
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -47,7 +47,7 @@
 // readBody reads the body of a request whose head was received at receivedAt.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, receivedAt time.Time) (*requestBody, *httpError) {
 	conn := http.NewResponseController(w)
-	defer h.stopReadingAtShutdown(conn)()
+	defer h.stopReadingAtIntakeEnd(conn)()
 	body := newRequestBody(h.bodyBuffers, r.ContentLength)
 	rateStart := bodyRateStart(r, receivedAt)
 	for {
@@ -81,16 +81,16 @@
 	if err := conn.SetReadDeadline(deadline); err != nil {
 		return false, errNoDeadline
 	}
-	if h.shutdown.Err() != nil { // the process may be killed before the body is complete
+	if h.intake.Err() != nil { // the request would be received too late in the drain
 		// Without this deadline, net/http would wait for the rest of the body. The call fails on a closed connection.
 		_ = conn.SetReadDeadline(expiredDeadline)
-		return false, &httpError{status: http.StatusServiceUnavailable, text: "refused: this process ends"}
+		return false, errShuttingDown
 	}
 	err := body.readFrom(r.Body)
 	switch {
 	case err == io.EOF:
 		return true, nil
-	case errors.Is(err, os.ErrDeadlineExceeded) && h.shutdown.Err() != nil: // the next call returns 503
+	case errors.Is(err, os.ErrDeadlineExceeded) && h.intake.Err() != nil: // the next call returns 503
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return false, &httpError{status: http.StatusRequestTimeout, text: "body came too slowly"}
 	case err != nil:
@@ -99,11 +99,11 @@
 	return false, nil
 }
 
-// stopReadingAtShutdown ends the reads of a connection when the shutdown context is done. The caller calls done when it
-// has finished reading. After done has returned, stopReadingAtShutdown does not change the read deadline any more.
-func (h *Handler) stopReadingAtShutdown(conn *http.ResponseController) (done func()) {
+// stopReadingAtIntakeEnd ends the reads of a connection when requests are no longer taken. The caller calls done when
+// it has finished reading. After done has returned, stopReadingAtIntakeEnd does not change the read deadline any more.
+func (h *Handler) stopReadingAtIntakeEnd(conn *http.ResponseController) (done func()) {
 	ended := make(chan struct{})
-	stop := context.AfterFunc(h.shutdown, func() {
+	stop := context.AfterFunc(h.intake, func() {
 		_ = conn.SetReadDeadline(expiredDeadline) // fails on a closed connection
 		close(ended)
 	})
--- a/internal/proxy/event_loop.go
+++ b/internal/proxy/event_loop.go
@@ -50,6 +50,7 @@
 	hasFirstUpdate bool
 	subscriptions  *discovery.Subscriptions
 	starts         *discovery.StartTimes
+	lateFrom       time.Time                  // responses to requests received later are not streamed; zero: no drain
 	shutdownAt     time.Time                  // when requests in flight expire at shutdown; zero before
 	gate           *PolicyGate                // nil if the settings come from the configuration file
 	onList         func([]discovery.Endpoint) // called with each endpoint list; may be nil
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,10 +21,11 @@
 	// killMargin is the time between the expiry of the last requests and the kill. It covers a stall of the process and
 	// 50 ms for sending the last responses.
 	killMargin = balance.SchedulingStall + 50*time.Millisecond
-	// killExemption is the time from the start of the drain within which a request may be received so that its response
+	// KillExemption is the time from the start of the drain within which a request may be received so that its response
 	// does not count as lost if the kill cuts it off. The platform counts KillDelay from the stop signal, which the
-	// process may notice late by a stall.
-	killExemption = KillDelay - balance.SchedulingStall
+	// process may notice late by a stall. No long response to a later request is forwarded, as it could outlast the
+	// process.
+	KillExemption = KillDelay - balance.SchedulingStall
 )
 
 // Handler serves client requests. It implements http.Handler.
@@ -36,23 +37,30 @@
 	draining    atomic.Bool
 
 	drainSchedule atomic.Pointer[drainSchedule] // set before draining
-	shutdown      context.Context               // done at drainSchedule.shutdownAt
+	intake        context.Context               // done when requests that are not received yet are rejected
+	endIntake     context.CancelFunc
+	shutdown      context.Context // done at drainSchedule.shutdownAt
 	beginShutdown context.CancelFunc
 }
 
 // drainSchedule has the times of a drain.
 type drainSchedule struct {
-	startedAt  time.Time
-	shutdownAt time.Time // when all responses are due
+	startedAt   time.Time
+	lateFrom    time.Time // requests received later are lost if the kill cuts off their responses
+	rejectsLate bool      // these requests are rejected
+	shutdownAt  time.Time // when all responses are due
 }
 
 // NewHandler returns a Handler that passes requests to loop. At most maxInFlight requests are in flight at once.
 func NewHandler(c *config.Config, loop *EventLoop, maxInFlight int) *Handler {
+	intake, endIntake := context.WithCancel(context.Background())
 	shutdown, beginShutdown := context.WithCancel(context.Background())
 	return &Handler{
 		loop:          loop,
 		ids:           newInflightIDs(maxInFlight),
 		bodyBuffers:   newBufferPool(c.MemoryMB),
+		intake:        intake,
+		endIntake:     endIntake,
 		shutdown:      shutdown,
 		beginShutdown: beginShutdown,
 	}
@@ -80,12 +88,23 @@
 func (h *Handler) Drain(maxDeadline time.Duration) {
 	startedAt := time.Now()
 	shutdownAt := startedAt.Add(min(h.LongestDeadline(), maxDeadline) + KillDelay - killMargin)
-	h.drainSchedule.Store(&drainSchedule{startedAt: startedAt, shutdownAt: shutdownAt})
+	lateFrom := startedAt.Add(KillExemption)
+	h.drainSchedule.Store(&drainSchedule{startedAt: startedAt, lateFrom: lateFrom, shutdownAt: shutdownAt})
 	h.draining.Store(true)
-	h.loop.Post(func() { h.loop.expireBy(shutdownAt) })
+	h.loop.Post(func() { h.loop.drain(lateFrom, shutdownAt) })
+	time.AfterFunc(time.Until(shutdownAt), h.endIntake)
 	time.AfterFunc(time.Until(shutdownAt), h.beginShutdown)
 }
 
+// RejectLateRequests makes a draining handler reject requests that are received later than KillExemption, because
+// another process of the sidecar serves them.
+func (h *Handler) RejectLateRequests() {
+	schedule := *h.drainSchedule.Load()
+	schedule.rejectsLate = true
+	h.drainSchedule.Store(&schedule)
+	time.AfterFunc(time.Until(schedule.lateFrom), h.endIntake)
+}
+
 // LongestDeadline returns the longest deadline of all classes in the current settings.
 func (h *Handler) LongestDeadline() (longest time.Duration) {
 	for _, class := range h.loop.settings.Load().classes {
--- a/internal/proxy/http_error.go
+++ b/internal/proxy/http_error.go
@@ -12,6 +12,10 @@
 // errBodyTooLarge is the response to a request whose body is larger than MaxRequestBody.
 var errBodyTooLarge = &httpError{status: http.StatusRequestEntityTooLarge, text: "body too large"}
 
+// errShuttingDown is the response to a request that is not complete when the draining process stops to take requests. A
+// retry is harmless.
+var errShuttingDown = &httpError{status: http.StatusServiceUnavailable, text: "refused: this process ends"}
+
 // badRequest returns the response to a request that violates the protocol.
 func badRequest(text string) *httpError { return &httpError{status: http.StatusBadRequest, text: text} }
 
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -71,8 +71,10 @@
 	return true
 }
 
-// expireBy makes all requests expire at shutdownAt at the latest, shortly before the process may be killed.
-func (l *EventLoop) expireBy(shutdownAt time.Time) {
+// drain makes all requests expire at shutdownAt at the latest, shortly before the process may be killed. Long responses
+// to requests that are received after lateFrom are not streamed.
+func (l *EventLoop) drain(lateFrom, shutdownAt time.Time) {
+	l.lateFrom = lateFrom
 	l.shutdownAt = shutdownAt
 	for _, r := range l.inflight {
 		l.scheduleExpiry(r)
@@ -86,6 +88,12 @@
 	}
 }
 
+// isLate reports whether a request was received so late in a drain that its response counts as lost if the process is
+// killed before its end.
+func (l *EventLoop) isLate(r *inflightRequest) bool {
+	return !l.lateFrom.IsZero() && r.receivedAt.After(l.lateFrom)
+}
+
 // cancel ends a request whose client has disconnected. If the request is completed but its handler has not received the
 // response, cancel discards the response and ends its stream.
 func (l *EventLoop) cancel(r *inflightRequest) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -57,7 +57,7 @@
 	isComplete := false
 	defer func() { response.remainder.Finish(isComplete) }()
 	defer context.AfterFunc(r.Context(), func() { response.remainder.LimitSilence(abandonedSilence) })()
-	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(response.remainder, request) })()
+	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(response.remainder) })()
 	response.writeContentType(w)
 	if length := response.remainder.Length(); length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
@@ -76,19 +76,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// endStalledStream ends a stream whose server has stopped sending. It is called at shutdown. A stream that its server
-// continues is not ended: the process waits for it, and may be killed.
-//
-// A response that the kill cuts off counts as lost if its request arrived late in the drain. For such a request, a
-// server that pauses longer than it is used to has to be recognized before the kill. For other requests, only a server
-// that has sent nothing since the drain began counts as stalled; otherwise the usual limit on pauses applies.
-func (h *Handler) endStalledStream(stream *upstream.Stream, request *inflightRequest) {
-	drainStartedAt := h.drainSchedule.Load().startedAt
-	if request.receivedAt.After(drainStartedAt.Add(killExemption)) {
-		stream.LimitPauses()
-		return
-	}
-	stream.EndIfUnresponsiveSince(drainStartedAt)
+// endStalledStream ends a stream whose server has sent nothing since the drain began. It is called at shutdown. A
+// stream that its server continues is not ended: the process waits for it, and may be killed. That does not count as a
+// lost response, since no response to a request received late in the drain is streamed.
+func (h *Handler) endStalledStream(stream *upstream.Stream) {
+	stream.EndIfUnresponsiveSince(h.drainSchedule.Load().startedAt)
 }
 
 // copyStream writes the first part of a body and then the remainder. It returns errClientWrite, or an error that wraps
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -28,6 +28,7 @@
 	p.setPhase(hotrestart.Draining, "cannot publish the draining phase to the process group")
 	acceptPeriod, idleGracePeriod := p.times.acceptPeriod, p.times.idleGracePeriod
 	if hasSuccessor {
+		p.handler.RejectLateRequests()
 		acceptPeriod, idleGracePeriod = 0, p.times.successorIdleGracePeriod
 		if err := p.drainListener.RedirectToSuccessor(); err != nil {
 			p.log.Warn("cannot redirect new connections to the successor: some may be reset", "err", err)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -27,7 +27,7 @@
 	idleGracePeriod:          300 * time.Millisecond,
 	unusedGracePeriod:        300 * time.Millisecond,
 	firstListTimeout:         time.Second,
-	successorIdleGracePeriod: downstream.IdleTimeout + 200*time.Millisecond,
+	successorIdleGracePeriod: proxy.KillExemption,
 	maxKillDeadline:          proxy.MaxKillDeadline,
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,7 +39,6 @@
 	aborted        bool          // every read and write fails
 	yielded        bool          // aborted because it was silent and connections were needed
 	waitingSince   time.Time     // start of the read with a read timeout that is in progress; zero: none
-	longestPause   time.Duration // longest wait of such a read for the bytes of the present stream
 	maxReadTimeout time.Duration // upper bound of readTimeout; 0: none
 }
 
@@ -92,36 +91,20 @@
 func (c *serverConn) endWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.longestPause = max(c.longestPause, time.Since(c.waitingSince))
 	c.waitingSince = time.Time{}
 }
 
-// resetPauses forgets the pauses of the previous response and their limit, and the pauses of the first part of the
-// present one.
-func (c *serverConn) resetPauses() {
+// liftReadTimeoutLimit removes the limit that limitReadTimeout has set for the previous stream.
+func (c *serverConn) liftReadTimeoutLimit() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.longestPause = 0
 	c.maxReadTimeout = 0
 }
 
-// limitPauses limits the read timeout to shutdownPauseFactor times the longest pause so far, but to no less than
-// shutdownReadTimeout.
-func (c *serverConn) limitPauses() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limitReadTimeoutLocked(max(shutdownReadTimeout, shutdownPauseFactor*c.longestPause))
-}
-
 // limitReadTimeout limits the read timeout. The limit applies to the read in progress as well, from its start.
 func (c *serverConn) limitReadTimeout(limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limitReadTimeoutLocked(limit)
-}
-
-// limitReadTimeoutLocked is limitReadTimeout for a caller that holds c.mu.
-func (c *serverConn) limitReadTimeoutLocked(limit time.Duration) {
 	if c.maxReadTimeout > 0 {
 		limit = min(limit, c.maxReadTimeout)
 	}
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -2,15 +2,6 @@
 
 import "time"
 
-// Limits on the pauses of a server once LimitPauses was called.
-const (
-	// shutdownReadTimeout is the minimum of the limit.
-	shutdownReadTimeout = 50 * time.Millisecond
-	// shutdownPauseFactor is the ratio of the limit to the longest pause before. A server that sends at its former pace
-	// stays within it.
-	shutdownPauseFactor = 4
-)
-
 // Stream reads the rest of a long response as it arrives. Only one goroutine may read it, and that goroutine must call
 // Finish once.
 type Stream struct {
@@ -20,7 +11,7 @@
 }
 
 func newStream(body *serverBody) *Stream {
-	body.conn.resetPauses()
+	body.conn.liftReadTimeoutLimit()
 	return &Stream{body: body, reusable: make(chan bool, 1)}
 }
 
@@ -49,10 +40,6 @@
 // SetReadTimeout sets the maximum wait for the next bytes. Only the goroutine that reads the stream may call it.
 func (s *Stream) SetReadTimeout(timeout time.Duration) { s.body.conn.readTimeout = timeout }
 
-// LimitPauses ends the stream if the server pauses much longer than it did before, also in the read in progress. Any
-// goroutine may call it.
-func (s *Stream) LimitPauses() { s.body.conn.limitPauses() }
-
 // LimitSilence limits the wait for the next bytes, also in the read in progress. Any goroutine may call it.
 func (s *Stream) LimitSilence(limit time.Duration) { s.body.conn.limitReadTimeout(limit) }
 
