Let servers pause in responses while their clients wait

Cause: each wait within a response that is not streamed yet was limited by the time for opening a connection, 0.5 s at least, and a response that paused for longer counted as malformed. Ruled out: a hedged request, and the limit of streams. Where one attempt at a time is allowed, a late attempt was cancelled also with its response begun. Change: a server that has begun a response may pause until the deadline of the request. The stall is an event of the Balancer now (ResponseStalled), which hedges the request where class, settings and budget allow it, and an attempt whose response has begun is not cancelled before the final response. Refusals and errors keep the limit. Tests: failed before: TestPausesInResponsesAreAwaited (42 of 48 cases; within a chunk it held) and TestBegunResponsesAreNotCancelled (4 of 4).

--- a/balance/api.go
+++ b/balance/api.go
@@ -218,7 +218,8 @@
 	// SetSendTimeout replaces the timeout of Send of an attempt in flight, counted from now (0: no limit). It has
 	// no effect on an attempt whose request has reached the endpoint completely.
 	SetSendTimeout(id RequestID, attempt int, timeout time.Duration)
-	// Cancel stops waiting for an attempt. Its Result follows.
+	// Cancel stops waiting for an attempt. Its Result follows. While the request has no final response, the host
+	// need not cancel an attempt whose response has begun.
 	Cancel(id RequestID, attempt int)
 	// Reject sends the final response stating that the request had no effect and may be retried after the given
 	// time.
--- a/balance/hedging.go
+++ b/balance/hedging.go
@@ -108,6 +108,19 @@
 	b.actions.Cancel(q.ID, n) // its Result triggers the next attempt
 }
 
+// ResponseStalled records that a part of the response to an attempt has arrived, and then nothing for long.
+// Its endpoint may continue, so the attempt remains in flight. If the settings allow two attempts at a time,
+// the request is hedged.
+func (b *Balancer) ResponseStalled(now Time, id RequestID, attempt int) {
+	q := b.requests[id]
+	if q == nil || attempt < 0 || attempt >= len(q.attempts) || q.attempts[attempt].done || q.ended {
+		return
+	}
+	if b.settings.HedgingAllowed && !q.attempts[attempt].hedged {
+		b.hedge(q, attempt, now)
+	}
+}
+
 // hedgeDelay returns the time in seconds after which an attempt is more likely lost than not. An endpoint
 // without any previous loss may stop responding, too, so a minimum loss share is assumed while it does not
 // respond.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"milletramp.example/milletramp/balance"
@@ -11,12 +12,12 @@
 
 // attempt is one attempt at a request, started by the Balancer.
 type attempt struct {
-	request      *inflightRequest
-	index        int // position among the attempts at the request, from 0
-	endpoint     string
-	startAt      balance.Time
-	sendDeadline *upstream.SendDeadline
-	markDone     func() // stops counting the attempt in EventLoop.runningAttempts
+	request  *inflightRequest
+	index    int // position among the attempts at the request, from 0
+	endpoint string
+	startAt  balance.Time
+	control  attemptControl
+	markDone func() // stops counting the attempt in EventLoop.runningAttempts
 }
 
 // Send implements balance.Actions. It starts an attempt, which has to be sent within the given time. If that time is 0,
@@ -27,14 +28,14 @@
 		return
 	}
 	ctx, cancel := context.WithDeadline(l.ctx, r.deadline)
-	control := attemptControl{cancel: cancel, sendDeadline: &upstream.SendDeadline{}}
+	control := attemptControl{cancel: cancel, sendDeadline: &upstream.SendDeadline{}, responseBegun: &atomic.Bool{}}
 	a := attempt{
-		request:      r,
-		index:        len(r.attempts),
-		endpoint:     endpoint,
-		startAt:      l.now,
-		sendDeadline: control.sendDeadline,
-		markDone:     sync.OnceFunc(l.runningAttempts.Done),
+		request:  r,
+		index:    len(r.attempts),
+		endpoint: endpoint,
+		startAt:  l.now,
+		control:  control,
+		markDone: sync.OnceFunc(l.runningAttempts.Done),
 	}
 	r.attempts = append(r.attempts, control)
 	l.SetSendTimeout(id, a.index, within)
@@ -67,8 +68,10 @@
 	request := upstream.AttemptRequest{
 		ServerID:     a.endpoint,
 		Message:      &a.request.Message,
-		SendDeadline: a.sendDeadline,
+		SendDeadline: a.control.sendDeadline,
 		IsCancelled:  func() bool { return l.isCancelled(a.request) },
+		OnResponse:   func() { a.control.responseBegun.Store(true) },
+		OnStall:      func() { l.Post(func() { l.balancer.ResponseStalled(l.now, a.request.requestID, a.index) }) },
 		StartStreaming: func(response upstream.Response) bool {
 			if isStreamed = l.startStreaming(a, response); isStreamed {
 				a.markDone() // the handler ends the stream
@@ -142,10 +145,17 @@
 	l.releaseIfDone(r)
 }
 
-// Cancel implements balance.Actions. It cancels an attempt; the goroutine of the attempt posts the result.
+// Cancel implements balance.Actions. It cancels an attempt; the goroutine of the attempt posts the result. While the
+// request waits for its response, an attempt whose response has begun is not cancelled in favor of another one, as its
+// server would be cut off.
 func (l *EventLoop) Cancel(id balance.RequestID, attempt int) {
-	if r := l.inflight[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
-		r.attempts[attempt].cancel()
+	r := l.inflight[id]
+	if r == nil || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	control := r.attempts[attempt]
+	if r.completed.Load() || !control.responseBegun.Load() {
+		control.cancel()
 	}
 }
 
--- a/internal/proxy/inflight_request.go
+++ b/internal/proxy/inflight_request.go
@@ -32,8 +32,9 @@
 
 // attemptControl stops an attempt or limits the time in which its request has to reach the server.
 type attemptControl struct {
-	cancel       context.CancelFunc
-	sendDeadline *upstream.SendDeadline
+	cancel        context.CancelFunc
+	sendDeadline  *upstream.SendDeadline
+	responseBegun *atomic.Bool // a part of the response has arrived
 }
 
 // clientDisconnected reports whether the client has closed its connection, even if data sent before is still unread.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -28,6 +28,11 @@
 	SendDeadline *SendDeadline
 	// IsCancelled reports whether the client no longer waits for the response. Nil means that it always waits.
 	IsCancelled func() bool
+	// OnResponse is called when the first byte of a response has arrived. Nil means that it is not needed.
+	OnResponse func()
+	// OnStall is called, at most once, if a response has begun and its server then pauses for long. The attempt goes
+	// on. Nil means that it is not needed.
+	OnStall func()
 	// StartStreaming is called after the first part of a long response was read. It reports whether the caller streams
 	// the rest. If so, the caller must read Response.Remainder and call its Finish method.
 	StartStreaming func(Response) bool
@@ -121,7 +126,7 @@
 		return Response{}, false, err
 	}
 	defer a.request.SendDeadline.whenPassed(func() { a.abortUndelivered(conn) })()
-	response, reusable, err = a.client.receiveResponse(ctx, conn)
+	response, reusable, err = a.receiveResponse(ctx, conn)
 	if err != nil && a.undelivered.Load() {
 		err = errUndelivered
 	}
@@ -176,17 +181,27 @@
 	return nil
 }
 
-// receiveResponse waits for the response and reads it. A response that stalls for longer than the read timeout is
-// malformed, for example because its declared length is too great. Without the timeout it would block the request until
-// its deadline.
-func (c *Client) receiveResponse(ctx context.Context, conn *serverConn) (r Response, reusable bool, err error) {
+// receiveResponse waits for the response and reads it. While the client waits, a server that has begun a response may
+// pause in it: nothing tells whether it will continue. OnStall allows the caller to make another attempt meanwhile.
+// Without a deadline, a response that stalls for longer than the read timeout is malformed, for example because
+// its declared length is too great.
+func (a *attempt) receiveResponse(ctx context.Context, conn *serverConn) (r Response, reusable bool, err error) {
 	conn.limitedReader.N = initialReadLimit
 	conn.readTimeout = 0
 	if _, err := conn.reader.Peek(1); err != nil {
 		return Response{}, false, err
 	}
-	conn.readTimeout = max(time.Duration(c.responseReadTimeoutNanos.Load()), minReadTimeout)
-	r, reusable, err = conn.readResponse()
+	if a.request.OnResponse != nil {
+		a.request.OnResponse()
+	}
+	stallTimeout := max(time.Duration(a.client.responseReadTimeoutNanos.Load()), minReadTimeout)
+	conn.readTimeout = stallTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		conn.readTimeout = max(time.Until(deadline), 0) + stallTimeout // ctx ends the read first
+		conn.watchStall(stallTimeout, a.request.OnStall)
+		defer conn.watchStall(0, nil)
+	}
+	r, reusable, err = conn.readResponse(stallTimeout)
 	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
 		err = malformed("response stalled for longer than the read timeout")
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/textproto"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,8 @@
 	reader        *bufio.Reader     // reads from limitedReader
 	textReader    *textproto.Reader // reads from reader
 	readTimeout   time.Duration     // maximum wait for the next bytes; 0: unlimited
+	stallTimeout  time.Duration     // wait for the next bytes after which onStall is called
+	onStall       func()            // called once if a read waits for stallTimeout; nil: not called
 
 	// The lock of the pool guards these fields.
 	idleSince   time.Time
@@ -59,28 +62,49 @@
 // Read implements net.Conn. The read timeout applies to each read, so a response may be slow as long as it makes
 // progress.
 func (c *serverConn) Read(p []byte) (int, error) {
-	if c.readTimeout > 0 {
-		if err := c.beginWait(); err != nil {
-			return 0, err
-		}
-		defer c.endWait()
+	if c.readTimeout == 0 {
+		return netretry.Read(c.Conn, p)
+	}
+	if c.onStall == nil || c.stallTimeout >= c.readTimeout {
+		return c.readWithin(p, c.readTimeout)
+	}
+	n, err := c.readWithin(p, c.stallTimeout)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.isAborted() {
+		return n, err
+	}
+	c.onStall()
+	c.onStall = nil
+	return c.readWithin(p, c.readTimeout-c.stallTimeout)
+}
+
+// readWithin reads available bytes. It waits for them for no longer than the timeout.
+func (c *serverConn) readWithin(p []byte, timeout time.Duration) (int, error) {
+	if err := c.beginWait(timeout); err != nil {
+		return 0, err
 	}
+	defer c.endWait()
 	return netretry.Read(c.Conn, p)
 }
 
+// watchStall makes the next read that waits for the timeout call onStall; nil: none does. Only the goroutine that reads
+// may call it.
+func (c *serverConn) watchStall(timeout time.Duration, onStall func()) {
+	c.stallTimeout = timeout
+	c.onStall = onStall
+}
+
 // Write implements net.Conn.
 func (c *serverConn) Write(p []byte) (int, error) { return netretry.Write(c.Conn, p) }
 
-// beginWait starts a read, and sets the read deadline to the end of the read timeout. It keeps the deadline of an
-// aborted connection, which makes the read fail.
-func (c *serverConn) beginWait() error {
+// beginWait starts a read, and sets the read deadline to the end of the timeout. It keeps the deadline of an aborted
+// connection, which makes the read fail.
+func (c *serverConn) beginWait(timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waitingSince = time.Now()
 	if c.aborted {
 		return nil
 	}
-	timeout := c.readTimeout
 	if c.maxReadTimeout > 0 {
 		timeout = min(timeout, c.maxReadTimeout)
 	}
@@ -124,6 +148,13 @@
 	return time.Since(c.waitingSince)
 }
 
+// isAborted reports whether the connection is aborted.
+func (c *serverConn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 // yield aborts the connection because it is needed for other requests.
 func (c *serverConn) yield() {
 	c.mu.Lock()
--- a/internal/upstream/response_parser.go
+++ b/internal/upstream/response_parser.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"milletramp.example/milletramp/balance"
 )
@@ -51,17 +52,20 @@
 // readResponse reads the response to the current request. reusable reports whether the connection can carry another
 // request, which requires that no bytes follow the response. http.ReadResponse is too lenient: it accepts a duplicate
 // Content-Length, a Content-Length together with a chunked body, and a truncated body of unknown length.
-func (c *serverConn) readResponse() (r Response, reusable bool, err error) {
+// errorBodyTimeout is the read timeout for the body of a response that is not forwarded.
+func (c *serverConn) readResponse(errorBodyTimeout time.Duration) (r Response, reusable bool, err error) {
 	c.limitedReader.N = maxHeaderBytes // stops reading an endless head
 	head, err := c.readFinalHead()
 	if err != nil {
 		return Response{}, false, err
 	}
 	r.Outcome = head.outcome()
-	switch r.Outcome {
-	case balance.Served:
+	if r.Outcome == balance.Served {
 		return c.readServedBody(&head)
-	case balance.Saturated:
+	}
+	c.readTimeout = errorBodyTimeout
+	c.onStall = nil
+	if r.Outcome == balance.Saturated {
 		reusable, err = c.verifyRefusal(&head)
 		return r, reusable, err
 	}
