Keep what connected clients make the process hold within its memory

Cause: memory followed descriptors alone. A head of 16 KiB became up to 0.3 MB of header fields; the first 64 KiB of each body and of each response were not counted; attempts copied bodies of one piece. Change: at most 100 header fields; only the first bytes of an unended line are kept; bodies count in the pool beyond 4 KiB and are allocated as they come; buffers of responses and the number of requests in flight follow the memory.

--- a/internal/downstream/framing.go
+++ b/internal/downstream/framing.go
@@ -16,15 +16,26 @@
 // net/http sends the response to a head that is too large.
 const maxHeadBytes = 4 * maxHeaderBytes
 
+const (
+	// maxHeaderFields is the maximum number of header fields of a request. net/http holds some hundred bytes for each
+	// field, however short it is.
+	maxHeaderFields = 100
+	// maxFramingLine is the number of bytes that are kept of an incomplete line of a head, and the maximum length of a
+	// field that determines the framing.
+	maxFramingLine = 256
+)
+
 // requestFraming checks the bytes that a client sends and rejects what net/http would accept and normalize: a
 // Content-Length together with a chunked body, a duplicate Content-Length, and folded header lines. Another parser
 // could find other message boundaries. The zero value is the state at the start of a connection.
 type requestFraming struct {
 	requests       int // number of complete heads
 	inBody         bool
-	line           []byte // incomplete line of a head
+	line           []byte // first bytes of an incomplete line of a head
+	lineTruncated  bool   // the line has more bytes than were kept
 	headBytes      int    // size of the current head so far
 	hasRequestLine bool   // the first line of the head is complete
+	fields         int    // number of complete header lines of the current head
 	contentLength  []byte // value of Content-Length; nil: absent
 	isChunked      bool   // Transfer-Encoding is chunked
 	remaining      int64  // remaining bytes of a body with Content-Length
@@ -77,27 +88,53 @@
 		if f.headBytes > maxHeadBytes {
 			return used, fmt.Errorf("%w: head exceeds %d bytes", errFraming, maxHeadBytes)
 		}
-		line := piece // most lines arrive in one piece
-		if !isLineEnd || len(f.line) > 0 {
-			f.line = append(f.line, piece...)
-			line = f.line
-		}
 		if !isLineEnd {
+			f.keepLine(piece)
 			return used, nil
 		}
-		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+		line := bytes.TrimSuffix(piece, []byte("\n"))
+		if len(f.line) > 0 { // most lines arrive in one piece
+			f.keepLine(line)
+			line = f.line
+		} else {
+			f.lineTruncated = len(line) > maxFramingLine // the result must not depend on the pieces
+		}
+		line = bytes.TrimSuffix(line, []byte("\r"))
 		if len(line) == 0 && f.hasRequestLine {
 			return used, f.endHead()
 		}
-		if err := f.feedLine(line); err != nil {
+		if err := f.endLine(line); err != nil {
 			return used, err
 		}
-		f.hasRequestLine = true
-		f.line = f.line[:0]
 	}
 	return used, nil
 }
 
+// keepLine keeps bytes of an incomplete line, as far as they are needed for the framing. A client could otherwise make
+// the process hold a long line for as long as it does not end it.
+func (f *requestFraming) keepLine(piece []byte) {
+	kept := piece[:min(len(piece), maxFramingLine-len(f.line))]
+	f.line = append(f.line, kept...)
+	f.lineTruncated = f.lineTruncated || len(kept) < len(piece)
+}
+
+// endLine checks a complete line of a head, or its first bytes if it is long.
+func (f *requestFraming) endLine(line []byte) error {
+	if f.hasRequestLine {
+		f.fields++
+	}
+	if f.fields > maxHeaderFields {
+		return fmt.Errorf("%w: more than %d header fields", errFraming, maxHeaderFields)
+	}
+	if err := f.feedLine(line); err != nil {
+		return err
+	}
+	f.hasRequestLine = true
+	f.line = f.line[:0]
+	f.lineTruncated = false
+	return nil
+}
+
 // cutLine returns the bytes up to and including the first line feed, or all bytes if there is none.
 func cutLine(in []byte) (piece []byte, isLineEnd bool) {
 	if end := bytes.IndexByte(in, '\n'); end >= 0 {
@@ -119,7 +156,10 @@
 	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimSpace(value)
+	isFraming := bytes.EqualFold(name, []byte("Content-Length")) || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	switch {
+	case isFraming && f.lineTruncated:
+		return fmt.Errorf("%w: %s of more than %d bytes", errFraming, name, maxFramingLine)
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		if f.contentLength != nil {
 			return fmt.Errorf("%w: duplicate Content-Length", errFraming)
--- a/internal/downstream/framing_test.go
+++ b/internal/downstream/framing_test.go
@@ -34,6 +34,11 @@
 		{"duplicate coding", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", ""), true},
 		{"unsupported coding", post("Transfer-Encoding: gzip, chunked\r\n", ""), true},
 		{"malformed chunk", post("Transfer-Encoding: chunked\r\n", "zz\r\n"), true},
+		{"as many fields as allowed", post(strings.Repeat("a:\r\n", maxHeaderFields-1), ""), false},
+		{"too many fields", post(strings.Repeat("a:\r\n", maxHeaderFields), ""), true},
+		{"too many fields without an end", "GET /api HTTP/1.1\r\n" + strings.Repeat("a:\r\n", maxHeaderFields+1), true},
+		{"long field", post("X-A: "+strings.Repeat("x", 4*maxFramingLine)+"\r\nContent-Length: 3\r\n", "abc"), false},
+		{"long length", post("Content-Length:"+strings.Repeat(" ", maxFramingLine)+"3\r\n", "abc"), true},
 		{"endless head", "GET /api HTTP/1.1\r\nX: " + strings.Repeat("x", maxHeadBytes), true},
 	} {
 		for _, piece := range []int{1, 7, 1 << 20} {
@@ -57,9 +62,26 @@
 	}
 }
 
+// TestLongLinesAreNotKept guards against clients that make the process hold long lines of heads which they do not end.
+func TestLongLinesAreNotKept(t *testing.T) {
+	var f requestFraming
+	if _, err := f.feed([]byte("GET /api HTTP/1.1\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	for range maxHeaderBytes {
+		if _, err := f.feed([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := cap(f.line); n > 2*maxFramingLine {
+		t.Errorf("%d bytes are held of an incomplete line, want %d at most", n, 2*maxFramingLine)
+	}
+}
+
 // FuzzFramingIgnoresPieces checks that the result does not depend on the sizes of the pieces in which the bytes arrive.
 func FuzzFramingIgnoresPieces(f *testing.F) {
 	f.Add([]byte(getHead+getHead), uint8(3))
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length:"+strings.Repeat(" ", maxFramingLine-16)+"3\r\n\r\nabc"), uint8(9))
 	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), uint8(1))
 	f.Fuzz(func(t *testing.T, text []byte, piece uint8) {
 		var whole, parts requestFraming
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -23,25 +23,33 @@
 	// minBodyRate is the minimum rate of a request body in bytes per second. Clients may rely on 64 kB/s being
 	// sufficient; minBodyRate is below that.
 	minBodyRate = 48 << 10
-	// initialBodyBuffer is the size in bytes of the first buffer for a body of unknown length.
+	// initialBodyBuffer is the maximum size in bytes of the first buffer for a body before any of it was read.
 	initialBodyBuffer = 4 << 10
-	// bodyBufferGrowthFactor is the factor by which that buffer grows, up to upstream.MaxBufferedBody.
+	// bodyBufferGrowthFactor is the factor by which that buffer grows if the length of the body is unknown, up to
+	// upstream.MaxBufferedBody.
 	bodyBufferGrowthFactor = 4
 )
 
 // errNoDeadline is the response to a request on a connection that does not support deadlines.
 var errNoDeadline = &httpError{status: http.StatusInternalServerError, text: "no deadline"}
 
+// errBodiesTooLarge is the response to a request for whose body there is no memory.
+var errBodiesTooLarge = &httpError{
+	status: http.StatusServiceUnavailable,
+	text:   "refused: too many large bodies at once",
+}
+
 // expiredDeadline is a read deadline that is always in the past. The zero time would mean no deadline.
 var expiredDeadline = time.Time{}.Add(time.Nanosecond)
 
 // requestBody is a request body that is being read.
 type requestBody struct {
-	pool     *bufferPool
-	declared int64    // length from Content-Length; -1 if unknown
-	buffers  [][]byte // the first one is allocated per request, the others come from the pool
-	reserved int      // number of buffers reserved in the pool
-	length   int      // bytes read so far
+	pool          *bufferPool
+	declared      int64    // length from Content-Length; -1 if unknown
+	buffers       [][]byte // the first one is allocated per request, the others come from the pool
+	reservedBytes int      // bytes reserved in the pool for the first buffer
+	reserved      int      // number of buffers reserved in the pool
+	length        int      // bytes read so far
 }
 
 // readBody reads the body of a request whose head was received at receivedAt.
@@ -118,7 +126,7 @@
 func newRequestBody(pool *bufferPool, declared int64) *requestBody {
 	size := initialBodyBuffer
 	if declared > 0 {
-		size = int(min(declared+1, upstream.MaxBufferedBody)) // one byte more for the read that returns io.EOF
+		size = int(min(declared+1, initialBodyBuffer)) // one byte more for the read that returns io.EOF
 	}
 	return &requestBody{pool: pool, declared: declared, buffers: [][]byte{make([]byte, 0, size)}}
 }
@@ -131,24 +139,33 @@
 	case len(last) < cap(last):
 		return nil
 	case len(last) < upstream.MaxBufferedBody:
-		larger := make([]byte, 0, min(bodyBufferGrowthFactor*cap(last), upstream.MaxBufferedBody))
-		b.buffers[len(b.buffers)-1] = append(larger, last...)
-		return nil
+		return b.growFirst(last)
 	case b.length > MaxRequestBody:
 		return errBodyTooLarge
 	}
-	if b.reserved == len(b.buffers)-1 {
-		if !b.reserve() {
-			return &httpError{
-				status: http.StatusServiceUnavailable,
-				text:   "refused: too many large bodies at once",
-			}
-		}
+	if b.reserved == len(b.buffers)-1 && !b.reserve() {
+		return errBodiesTooLarge
 	}
 	b.buffers = append(b.buffers, b.pool.buffer())
 	return nil
 }
 
+// growFirst replaces the full first buffer by a larger one: of the declared length, or by a factor if that is unknown.
+// A client therefore has to send a part of a body before the process holds memory for the rest.
+func (b *requestBody) growFirst(first []byte) *httpError {
+	size := bodyBufferGrowthFactor * cap(first)
+	if b.declared > 0 {
+		size = int(min(b.declared+1, upstream.MaxBufferedBody))
+	}
+	size = min(size, upstream.MaxBufferedBody)
+	if !b.pool.reserveBytes(size - b.reservedBytes) {
+		return errBodiesTooLarge
+	}
+	b.reservedBytes = size
+	b.buffers[0] = append(make([]byte, 0, size), first...)
+	return nil
+}
+
 // reserve reserves pool buffers for the rest of a body of declared length, or one buffer if the length is unknown. If
 // bodies reserved their buffers one at a time, many bodies could each hold a part of the pool, and none could be
 // completed.
@@ -171,4 +188,7 @@
 }
 
 // release returns the buffers to the pool. They must not be used afterwards.
-func (b *requestBody) release() { b.pool.release(b.reserved, b.buffers[1:]) }
+func (b *requestBody) release() {
+	b.pool.release(b.reserved, b.buffers[1:])
+	b.pool.releaseBytes(b.reservedBytes)
+}
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -57,6 +57,36 @@
 	return readResponse(p.T, conn)
 }
 
+// TestShortBodiesCountInPool guards against many bodies of up to 64 KiB that exhaust the memory: what exceeds the first
+// few KiB is reserved in the pool, and released with the body. A body whose client has announced it but sent only a part
+// holds no more than that part needs.
+func TestShortBodiesCountInPool(t *testing.T) {
+	pool := &bufferPool{maxBuffers: 1}
+	first := newRequestBody(pool, upstream.MaxBufferedBody-1)
+	if err := first.ensureSpace(); err != nil || cap(first.buffers[0]) > initialBodyBuffer || pool.reservedBytes != 0 {
+		t.Fatalf("error %v, %d bytes held and %d reserved before any was read", err, cap(first.buffers[0]), pool.reservedBytes)
+	}
+	fill := func(b *requestBody) *httpError {
+		b.buffers[0] = b.buffers[0][:cap(b.buffers[0])]
+		return b.ensureSpace()
+	}
+	if err := fill(first); err != nil || pool.reservedBytes != upstream.MaxBufferedBody {
+		t.Fatalf("error %v, %d bytes reserved", err, pool.reservedBytes)
+	}
+	second := newRequestBody(pool, 2*initialBodyBuffer)
+	if err := fill(second); err != errBodiesTooLarge {
+		t.Errorf("error %v for a body without memory, want errBodiesTooLarge", err)
+	}
+	second.release()
+	first.release()
+	if pool.reservedBytes != 0 {
+		t.Errorf("%d bytes are reserved after the release", pool.reservedBytes)
+	}
+	if err := fill(newRequestBody(pool, 2*initialBodyBuffer)); err != nil {
+		t.Errorf("error %v with free memory", err)
+	}
+}
+
 // TestLargeBodyWithoutBuffersGets503 checks that a body larger than one buffer is refused, and its request counted as
 // rejected, while all buffers are reserved. A short body is accepted. Once buffers are free again, a large body is
 // accepted too.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,13 +29,18 @@
 	KillExemption = KillDelay - balance.SchedulingStall
 )
 
+// MaxStreamBuffer is the maximum size in bytes of the buffer for a streamed response.
+const MaxStreamBuffer = 16 << 10
+
 // Handler serves client requests. It implements http.Handler.
 type Handler struct {
 	loop        *EventLoop
 	ids         *inflightIDs
 	bodyBuffers *bufferPool // for large request bodies
-	gate        *PolicyGate // nil if the settings come from the configuration file
-	draining    atomic.Bool
+	// streamBuffers holds *[]byte for streamed responses.
+	streamBuffers sync.Pool
+	gate          *PolicyGate // nil if the settings come from the configuration file
+	draining      atomic.Bool
 
 	drainSchedule atomic.Pointer[drainSchedule] // set before draining
 	intake        context.Context               // done when requests that are not received yet are rejected
@@ -55,7 +61,7 @@
 func NewHandler(c *config.Config, loop *EventLoop, maxInFlight int) *Handler {
 	intake, endIntake := context.WithCancel(context.Background())
 	shutdown, beginShutdown := context.WithCancel(context.Background())
-	return &Handler{
+	h := &Handler{
 		loop:          loop,
 		ids:           newInflightIDs(maxInFlight),
 		bodyBuffers:   newBufferPool(c.MemoryMB),
@@ -64,6 +70,17 @@
 		shutdown:      shutdown,
 		beginShutdown: beginShutdown,
 	}
+	h.SetStreamBuffer(MaxStreamBuffer)
+	return h
+}
+
+// SetStreamBuffer sets the size in bytes of the buffers for streamed responses. It is called before the handler serves
+// requests.
+func (h *Handler) SetStreamBuffer(size int) {
+	h.streamBuffers.New = func() any {
+		buffer := make([]byte, size)
+		return &buffer
+	}
 }
 
 // SetPolicyGate sets the policy gate of all requests; nil means none. It is called before the handler serves requests.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -7,15 +7,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"milletramp.example/milletramp/internal/upstream"
 )
 
 const (
-	// streamBufferSize is the size in bytes of the buffer for a streamed body.
-	streamBufferSize = 16 << 10
 	// clientSendBuffer is the size in bytes of the send buffer of the client's connection. A full send buffer accepts
 	// data again once a third of it is free. With a large buffer, a slow client could need more than partWriteTimeout
 	// to free a third.
@@ -37,9 +34,6 @@
 	minStreamPause = time.Second
 )
 
-// streamBuffers is a pool of buffers of streamBufferSize bytes.
-var streamBuffers = sync.Pool{New: func() any { return new([streamBufferSize]byte) }}
-
 // Errors of a stream that ends before the body is complete.
 var (
 	errClientWrite = errors.New("writing the response to the client failed")
@@ -55,14 +49,15 @@
 		_ = client.SetWriteBuffer(clientSendBuffer) // on failure, the default size of the system remains
 	}
 	isComplete := false
-	defer func() { response.remainder.Finish(isComplete) }()
-	defer context.AfterFunc(r.Context(), func() { response.remainder.LimitSilence(abandonedSilence) })()
-	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(response.remainder) })()
+	remainder := response.remainder // the closures must not keep the first part of the body
+	defer func() { remainder.Finish(isComplete) }()
+	defer context.AfterFunc(r.Context(), func() { remainder.LimitSilence(abandonedSilence) })()
+	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(remainder) })()
 	response.writeContentType(w)
-	if length := response.remainder.Length(); length >= 0 {
+	if length := remainder.Length(); length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	err := copyStream(w, conn, response, request.deadline)
+	err := h.copyStream(w, conn, response.body, remainder, request.deadline)
 	if err == nil {
 		isComplete = true
 		request.counters.Served.Add(1)
@@ -83,14 +78,12 @@
 	stream.EndIfUnresponsiveSince(h.drainSchedule.Load().startedAt)
 }
 
-// copyStream writes the first part of a body and then the remainder. It returns errClientWrite, or an error that wraps
-// errServerRead, if the body could not be completed.
-func copyStream(w http.ResponseWriter, conn *http.ResponseController, response finalResponse,
-	deadline time.Time) error {
-	buffer := streamBuffers.Get().(*[streamBufferSize]byte)
-	defer streamBuffers.Put(buffer)
-	remainder := response.remainder
-	part := response.body
+// copyStream writes part, the first part of a body, and then the remainder. It does not keep the first part meanwhile.
+// It returns errClientWrite, or an error that wraps errServerRead, if the body could not be completed.
+func (h *Handler) copyStream(w http.ResponseWriter, conn *http.ResponseController, part []byte,
+	remainder *upstream.Stream, deadline time.Time) error {
+	buffer := h.streamBuffers.Get().(*[]byte)
+	defer h.streamBuffers.Put(buffer)
 	written := int64(0)
 	for {
 		if err := writePart(w, conn, part); err != nil {
@@ -101,11 +94,11 @@
 			return nil
 		}
 		remainder.SetReadTimeout(allowedPause(max(written, remainder.Length()), deadline))
-		n, err := remainder.Read(buffer[:])
+		n, err := remainder.Read(*buffer)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return fmt.Errorf("%w: %w", errServerRead, err)
 		}
-		part = buffer[:n]
+		part = (*buffer)[:n]
 	}
 }
 
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -43,6 +43,7 @@
 		return nil, err
 	}
 	loop.Upstream().SetDial(testHooks.dial)
+	loop.Upstream().SetMaxBufferedBody(newMemoryBudget(c).ResponseBuffer)
 	return &process{config: c, log: log, times: times, hooks: testHooks, loop: loop}, nil
 }
 
@@ -90,6 +91,7 @@
 	p.conns.SetEndSilentResponse(p.loop.Upstream().EndSilentStream)
 	p.handler = proxy.NewHandler(p.config, p.loop, budget.Requests)
 	p.handler.SetPolicyGate(p.operator.gate)
+	p.handler.SetStreamBuffer(newMemoryBudget(p.config).StreamBuffer)
 	context.AfterFunc(p.handler.Shutdown(), p.conns.RetireAll)
 	p.watchProcessGroup(ctx, hasPredecessor)
 	p.httpServer = p.conns.HTTPServer(p.handler, p.log)
--- a/internal/sidecar/socket_budget.go
+++ b/internal/sidecar/socket_budget.go
@@ -14,6 +14,9 @@
 	reservedDescriptors = 20
 	// requestDivisor is the number of descriptors per request in flight.
 	requestDivisor = 3
+	// memoryPerRequest is the number of bytes of the process's memory per request in flight. About half of the memory
+	// is for the requests, which hold up to 64 KiB each: buffers, two connections and their goroutines.
+	memoryPerRequest = 128 << 10
 	// keepAliveFraction is KeepAliveConns as a fraction of the maximum number of requests in flight. The rest is for
 	// bursts.
 	keepAliveFraction = 0.75
@@ -35,6 +38,9 @@
 	}
 	clientConns := available / 2
 	requests := min(c.Sockets/requestDivisor, clientConns-clientConns/8)
+	if c.MemoryMB > 0 {
+		requests = max(min(requests, c.MemoryMB<<20/memoryPerRequest), 1)
+	}
 	budget := socketBudget{
 		Requests:       requests,
 		ClientConns:    clientConns,
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// MaxBufferedBody is the size in bytes up to which the body of a request or a response is always buffered.
+	// MaxBufferedBody is the size in bytes up to which the body of a request is always buffered, and that of a response
+	// by default.
 	MaxBufferedBody = 64 << 10
 
 	maxResponseBody = 64 << 20 // maximum declared length in bytes; servers may send up to 32 MB
@@ -178,13 +179,16 @@
 	return b
 }
 
-// exceedsBuffer reports whether the declared length exceeds MaxBufferedBody.
-func (b *bodyBuffer) exceedsBuffer() bool { return b.body.length > MaxBufferedBody }
+// maxSize returns the maximum size of the buffer in bytes.
+func (b *bodyBuffer) maxSize() int { return b.body.conn.maxBufferedBody }
+
+// exceedsBuffer reports whether the declared length exceeds the buffer.
+func (b *bodyBuffer) exceedsBuffer() bool { return b.body.length > int64(b.maxSize()) }
 
 // isFull reports whether the rest of the body has to be streamed. If the declared length exceeds the buffer, only the
 // result of the first read is buffered.
 func (b *bodyBuffer) isFull() bool {
-	return b.exceedsBuffer() && len(b.data) > 0 || len(b.data) >= MaxBufferedBody
+	return b.exceedsBuffer() && len(b.data) > 0 || len(b.data) >= b.maxSize()
 }
 
 // isBuffering reports whether the body has no declared length and its first part was read. This part is buffered until
@@ -206,7 +210,7 @@
 	if len(b.data) == cap(b.data) {
 		b.data = slices.Grow(b.data, minBodyGrowth)
 	}
-	space := b.data[len(b.data):min(cap(b.data), MaxBufferedBody)]
+	space := b.data[len(b.data):min(cap(b.data), b.maxSize())]
 	n, err := b.body.Read(space)
 	b.data = b.data[:len(b.data)+n]
 	if !buffering {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -61,6 +61,10 @@
 // call.
 func (c *Client) EndSilentStream() (wait time.Duration) { return c.pool.streams.endLongestSilent() }
 
+// SetMaxBufferedBody sets the size in bytes up to which the body of a response is buffered on connections that are
+// opened later. Longer bodies are streamed.
+func (c *Client) SetMaxBufferedBody(size int) { c.pool.maxBufferedBody.Store(int64(size)) }
+
 // Configure applies new limits. The read timeout within a response equals the connect timeout. The idle timeout is half
 // of the time after which servers close idle connections, so that a close by the server does not coincide with a new
 // request on the connection.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,9 +30,11 @@
 	limitedReader *io.LimitedReader // reads from the connection; its limit is set for each part of a response
 	reader        *bufio.Reader     // reads from limitedReader
 	textReader    *textproto.Reader // reads from reader
-	readTimeout   time.Duration     // maximum wait for the next bytes; 0: unlimited
-	stallTimeout  time.Duration     // wait for the next bytes after which onStall is called
-	onStall       func()            // called once if a read waits for stallTimeout; nil: not called
+	// maxBufferedBody is the size in bytes up to which the body of a response is buffered.
+	maxBufferedBody int
+	readTimeout     time.Duration // maximum wait for the next bytes; 0: unlimited
+	stallTimeout    time.Duration // wait for the next bytes after which onStall is called
+	onStall         func()        // called once if a read waits for stallTimeout; nil: not called
 
 	// The lock of the pool guards these fields.
 	idleSince   time.Time
@@ -52,7 +54,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("get raw connection: %w", err)
 	}
-	c := &serverConn{Conn: conn, rawConn: rawConn, server: target}
+	c := &serverConn{Conn: conn, rawConn: rawConn, server: target, maxBufferedBody: MaxBufferedBody}
 	c.limitedReader = &io.LimitedReader{R: c}
 	c.reader = bufio.NewReader(c.limitedReader)
 	c.textReader = textproto.NewReader(c.reader)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,6 +27,7 @@
 
 	connectTimeoutNanos atomic.Int64 // timeout for opening a connection
 	idleTimeoutNanos    atomic.Int64 // maximum idle time of a connection
+	maxBufferedBody     atomic.Int64 // size in bytes up to which the body of a response is buffered
 
 	mu          sync.Mutex
 	maxConns    int         // maximum number of open connections to all servers, idle and acquired
@@ -36,12 +37,14 @@
 }
 
 func newPool(maxConns int) *pool {
-	return &pool{
+	p := &pool{
 		maxConns:   maxConns,
 		idleConns:  list.New(),
 		reuseDelay: defaultReuseDelay,
 		streams:    newStreamSet(),
 	}
+	p.maxBufferedBody.Store(MaxBufferedBody)
+	return p
 }
 
 // idleTimeout returns the maximum idle time of a connection.
@@ -111,7 +114,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newServerConn(conn, target)
+	opened, err := newServerConn(conn, target)
+	if err == nil {
+		opened.maxBufferedBody = int(p.maxBufferedBody.Load())
+	}
+	return opened, err
 }
 
 // release returns a connection to the pool, or closes it if it is not reusable. A connection is reusable if the
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -10,8 +10,12 @@
 	"time"
 )
 
-// initialHeadCapacity is the initial capacity in bytes of the buffer for a request's head. The buffer grows if needed.
-const initialHeadCapacity = 512
+const (
+	// initialHeadCapacity is the initial capacity in bytes of the buffer for a request's head.
+	initialHeadCapacity = 512
+	// maxAppendedBody is the size in bytes up to which a body is written together with the head.
+	maxAppendedBody = 4 << 10
+)
 
 // Message is a client's request as it is forwarded to servers.
 type Message struct {
@@ -33,8 +37,8 @@
 	return length
 }
 
-// encodedRequest is a request in its wire format. A body of one piece is appended to head. A body of several pieces is
-// not copied, because copies of many large bodies would exhaust the memory.
+// encodedRequest is a request in its wire format. A short body is appended to head. A longer one is not copied, because
+// copies of many bodies would exhaust the memory.
 type encodedRequest struct {
 	head []byte
 	body [][]byte
@@ -46,7 +50,7 @@
 // encode returns the request to be sent to address. X-Timeout-Ms is the time until the deadline of ctx. The time spent
 // on acquiring a connection is already deducted.
 func (m *Message) encode(ctx context.Context, address string) encodedRequest {
-	head := make([]byte, 0, initialHeadCapacity+min(m.bodyLength(), MaxBufferedBody))
+	head := make([]byte, 0, initialHeadCapacity+min(m.bodyLength(), maxAppendedBody))
 	appendLine := func(parts ...string) {
 		for _, part := range parts {
 			head = append(head, part...)
@@ -70,7 +74,7 @@
 		appendLine("Content-Length: ", strconv.Itoa(m.bodyLength()))
 	}
 	appendLine()
-	if len(m.Body) == 1 {
+	if len(m.Body) == 1 && len(m.Body[0]) <= maxAppendedBody {
 		return encodedRequest{head: append(head, m.Body[0]...)}
 	}
 	return encodedRequest{head: head, body: m.Body}
