deploy: note the end of a request body without a data race

Cause: TestLargeRequestsToSlowServersEndInTime read the time of a body's end while the transport might still write it; the race detector reported it once, at 4096 KiB, in a run of the whole package (-race -p 16). Change: the time is an atomic pointer.

--- a/deploy/slow_server_test.go
+++ b/deploy/slow_server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -66,23 +67,30 @@
 // bodyWithEnd is a request body that notes when its last byte was read.
 type bodyWithEnd struct {
 	io.Reader
-	endedAt time.Time
+	endedAt atomic.Pointer[time.Time]
 }
 
 // Read implements io.Reader.
 func (b *bodyWithEnd) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if err == io.EOF {
-		b.endedAt = time.Now()
+		b.noteEnd()
 	}
 	return n, err
 }
 
+// noteEnd notes the present time.
+func (b *bodyWithEnd) noteEnd() {
+	now := time.Now()
+	b.endedAt.Store(&now)
+}
+
 // post sends a request with a body, and returns the status of its final answer, or 0 for none, and the time from its last
 // byte.
 func (s *site) post(id string, length int, timeout time.Duration) (status int, took time.Duration) {
 	s.t.Helper()
-	body := &bodyWithEnd{Reader: io.LimitReader(zeros{}, int64(length)), endedAt: time.Now()}
+	body := &bodyWithEnd{Reader: io.LimitReader(zeros{}, int64(length))}
+	body.noteEnd()
 	r, err := http.NewRequest("POST", "http://"+s.listen+"/api", body)
 	if err != nil {
 		s.t.Fatal(err)
@@ -96,5 +104,5 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, time.Since(body.endedAt)
+	return resp.StatusCode, time.Since(*body.endedAt.Load())
 }
