downstream: count a client as gone whose close may be hidden behind unread bytes

Cause: the end of a connection is seen once the system has received it. Behind more bytes than fit into the buffer of the connection it stays at the client's side. Evidence: with 0 to 100 KiB behind the request no attempt follows the close, with 1 and 16 MiB one does. Change: where an attempt may begin, over 32 KiB of unread bytes count as a close. Sound clients send one request at a time.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -14,6 +14,10 @@
 	"milletramp.example/milletramp/internal/netretry"
 )
 
+// maxVisibleBacklog is the number of unread bytes up to which the end of a connection can be seen behind them. The
+// system receives no more once its buffer is full. Clients send one request at a time, so a sound one leaves far fewer.
+const maxVisibleBacklog = 32 << 10
+
 // discardBufferSize is the size in bytes of the buffer for input that is discarded.
 const discardBufferSize = 4 << 10
 
@@ -194,14 +198,21 @@
 	return err == nil && unread > 0
 }
 
-// PeerClosed reports whether the client has closed its sending side, even if earlier bytes are still unread.
+// PeerClosed reports whether the client has closed its sending side, even if earlier bytes are still unread. A client
+// with so many unread bytes that its close could not be seen counts as one that has closed.
 func (c *Conn) PeerClosed() bool {
 	var events int16
+	unread := 0
 	err := c.withDescriptor(func(fd int) (err error) {
 		events, err = netretry.Poll(fd, unix.POLLRDHUP)
+		if err != nil {
+			return err
+		}
+		unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
 		return err
 	})
-	return err == nil && events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	isClosed := events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err == nil && (isClosed || unread > maxVisibleBacklog)
 }
 
 // withDescriptor calls call with the file descriptor of the connection.
