--- a/deploy/memory_test.go
+++ b/deploy/memory_test.go
@@ -19,6 +19,19 @@
 	mostDescriptors = 1024
 )
 
+// setDescriptors sets the number of descriptors of processes that are started later.
+func (s *site) setDescriptors(count int) {
+	s.t.Helper()
+	text, err := os.ReadFile(s.file)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text = bytes.Replace(text, []byte(`"sockets":256`), fmt.Appendf(nil, `"sockets":%d`, count), 1)
+	if err := os.WriteFile(s.file, text, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // memoryLoad is a way in which clients may make a sidecar hold memory for as long as they stay connected.
 type memoryLoad struct {
 	name   string
@@ -145,14 +158,7 @@
 		}
 		fmt.Fprint(w, "ok")
 	})
-	text, err := os.ReadFile(s.file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text = bytes.Replace(text, []byte(`"sockets":256`), fmt.Appendf(nil, `"sockets":%d`, mostDescriptors), 1)
-	if err := os.WriteFile(s.file, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	s.setDescriptors(mostDescriptors)
 	p := s.start()
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
--- a/deploy/slow_server_test.go
+++ b/deploy/slow_server_test.go
@@ -1,11 +1,9 @@
 package deploy
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,14 +26,7 @@
 				}
 				fmt.Fprint(w, "ok")
 			})
-			text, err := os.ReadFile(s.file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			text = bytes.Replace(text, []byte(`"sockets":256`), fmt.Appendf(nil, `"sockets":%d`, mostDescriptors), 1)
-			if err := os.WriteFile(s.file, text, 0o600); err != nil {
-				t.Fatal(err)
-			}
+			s.setDescriptors(mostDescriptors)
 			p := s.start()
 			var all sync.WaitGroup
 			var mu sync.Mutex
--- a/internal/downstream/listener.go
+++ b/internal/downstream/listener.go
@@ -21,9 +21,9 @@
 type Listener struct {
 	net.Listener
 	unserved *metrics.UnservedConns // counts the connections closed without a request, by reason
-	// endSilentResponse is called at the connection limit if no connection can give way. It may end a response, and
-	// returns how long to wait before the next call. Nil: there is none.
-	endSilentResponse func() (wait time.Duration)
+	// endUnresponsiveResponse is called at the connection limit if no connection can give way. It may end a response,
+	// and returns how long to wait before the next call. Nil: there is none.
+	endUnresponsiveResponse func() (wait time.Duration)
 
 	mu             sync.Mutex
 	maxConns       int
@@ -51,10 +51,12 @@
 	}
 }
 
-// SetEndSilentResponse sets a function that is called while a new connection waits at the connection limit and no
+// SetEndUnresponsiveResponse sets a function that is called while a new connection waits at the connection limit and no
 // connection without a request and no stalled request body can give way. It may end a response whose server is silent,
 // and returns how long to wait before the next call. It is set before the first call of Accept.
-func (l *Listener) SetEndSilentResponse(end func() (wait time.Duration)) { l.endSilentResponse = end }
+func (l *Listener) SetEndUnresponsiveResponse(end func() (wait time.Duration)) {
+	l.endUnresponsiveResponse = end
+}
 
 // SetLimits changes both limits.
 func (l *Listener) SetLimits(maxConns, keepAliveLimit int) {
@@ -139,8 +141,8 @@
 		return l.openConns < l.maxConns, wait
 	}
 	wait = min(wait, l.endStalledBody())
-	if l.endSilentResponse != nil {
-		wait = min(wait, l.endSilentResponse())
+	if l.endUnresponsiveResponse != nil {
+		wait = min(wait, l.endUnresponsiveResponse())
 	}
 	return l.openConns < l.maxConns, wait
 }
--- a/internal/downstream/stalled_body_test.go
+++ b/internal/downstream/stalled_body_test.go
@@ -146,7 +146,7 @@
 		t.Fatal(err)
 	}
 	calls := 0
-	l.SetEndSilentResponse(func() time.Duration {
+	l.SetEndUnresponsiveResponse(func() time.Duration {
 		if calls++; calls == 2 {
 			go func() { _ = c.Close() }() // as the handler of the response does
 			go l.onHTTPState(c, http.StateClosed)
--- a/internal/proxy/api.go
+++ b/internal/proxy/api.go
@@ -32,7 +32,7 @@
 		return &httpError{status: http.StatusConflict, text: "X-Request-ID is in use"}
 	case errTooManyRequests:
 		request.dropBody()
-		h.loop.upstream.EndSilentStream()
+		h.loop.upstream.EndUnresponsiveStream()
 		h.reject(w)
 		request.counters.Rejected.Add(1)
 		return nil
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -88,7 +88,7 @@
 	budget := newSocketBudget(p.config)
 	p.conns = downstream.NewListener(netretry.NewListener(p.drainListener, p.log), budget.ClientConns,
 		budget.KeepAliveConns, &p.loop.Metrics().UnservedConns)
-	p.conns.SetEndSilentResponse(p.loop.Upstream().EndSilentStream)
+	p.conns.SetEndUnresponsiveResponse(p.loop.Upstream().EndUnresponsiveStream)
 	p.handler = proxy.NewHandler(p.config, p.loop, budget.Requests)
 	p.handler.SetPolicyGate(p.operator.gate)
 	p.handler.SetStreamBuffer(newMemoryBudget(p.config).StreamBuffer)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,10 +56,12 @@
 // SetMaxConns changes the maximum number of open connections to servers.
 func (c *Client) SetMaxConns(n int) { c.pool.setMaxConns(n) }
 
-// EndSilentStream ends the stream whose server has been silent for the longest time, to free its connections for other
-// requests. It ends none if no server has been silent for several seconds. It returns how long to wait before the next
-// call.
-func (c *Client) EndSilentStream() (wait time.Duration) { return c.pool.streams.endLongestSilent() }
+// EndUnresponsiveStream ends the stream whose server has been silent for the longest time, to free its connections for
+// other requests. It ends none if no server has been silent for several seconds. It returns how long to wait before the
+// next call.
+func (c *Client) EndUnresponsiveStream() (wait time.Duration) {
+	return c.pool.streams.endLongestUnresponsive()
+}
 
 // SetMaxBufferedBody sets the size in bytes up to which the body of a response is buffered on connections that are
 // opened later. Longer bodies are streamed.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -56,7 +56,7 @@
 func (p *pool) acquire(ctx context.Context, target *server) (*serverConn, error) {
 	conn, err := p.popIdleOrReserve(target)
 	if errors.Is(err, errConnLimit) {
-		p.streams.endLongestSilent()
+		p.streams.endLongestUnresponsive()
 	}
 	if conn != nil || err != nil {
 		return conn, err
--- a/internal/upstream/stream_set.go
+++ b/internal/upstream/stream_set.go
@@ -33,9 +33,9 @@
 	}
 }
 
-// endLongestSilent ends the stream whose server has been silent for the longest time, if that is at least yieldSilence.
-// It returns how long to wait before the next call.
-func (s *streamSet) endLongestSilent() (wait time.Duration) {
+// endLongestUnresponsive ends the stream whose server has been silent for the longest time, if that is at least
+// yieldSilence. It returns how long to wait before the next call.
+func (s *streamSet) endLongestUnresponsive() (wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *serverConn
