proxy: end responses without an end at their client's deadline

Cause: once a response is streamed, the attempt's context no longer ends it. Two limits were left, both on silence, and both begin anew with each piece: the pause that allowedPause gave (at least 1 s, so that the grace of 0.25 s had no effect), and the read timeout below it, which each read of the socket renews.

Hypotheses and what told them apart: (a) limits on silence that are renewed (the reviewer's); (b) the client's side: a write that waits; (c) the client's time is not applied; (d) the body passes for a long one. Of the four sockets of the case, ss showed an empty send queue 4 s after their time: not (b). Heads, interim responses and declared bodies up to 64 KiB that trickle ended with 502 after 0.995 to 1.001 s of 1 s, as they are not streamed: not (c). With the same 4 bytes and then silence the answer ended after 1.247 s: not (d), but (a).

A read ends at the deadline whatever arrives (serverConn.readBy).

Tests, seen failing before on: TestTricklingResponsesEndInTime (7 of 15 forms: chunks, their data, extensions and trailers, a body to the close, open 6 s after their request), TestTricklingAttemptsEndInTime (8 of 8: first attempt, retry, hedge, each effect), TestOverdueResponseReleasesAll (no end in 90 s). TestLongResponsesMayTrickle holds the opposite, TestArrivalCountsUnreadBytes and TestStreamReadDeadline the parts. Mutations: nine are caught (read deadline left out, all or no responses with a deadline, grace of 1 s, four in upstream); three that matter only for a client that does not read are not yet.

--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -67,12 +67,19 @@
 
 // startTestProxy starts a testProxy whose server responds with respond. It runs until the end of the test.
 func startTestProxy(t *testing.T, respond testserver.Handler) *testProxy {
+	t.Helper()
+	return startTestProxyWithLog(t, respond, slog.New(slog.DiscardHandler))
+}
+
+// startTestProxyWithLog is startTestProxy with a log.
+func startTestProxyWithLog(t *testing.T, respond testserver.Handler, log *slog.Logger) *testProxy {
 	t.Helper()
 	backend := testserver.StartBackend(t, respond)
 	c := loadConfig(t, testserver.ServingList(1, backend), testserver.Settings)
 	c.Settings.PollDiscovery = true // no watch
 	ctx, cancel := context.WithCancel(context.Background())
 	loop := newEventLoop(ctx, t, c, nil)
+	loop.log = log
 	var running sync.WaitGroup
 	running.Add(1)
 	go func() {
--- /dev/null
+++ b/internal/proxy/stream_deadline.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"milletramp.example/milletramp/internal/upstream"
+)
+
+const (
+	// lateResponseGrace is the time after the client's deadline by which a streamed response of at most longResponse
+	// bytes has to end. Clients count a response as lost 0.5 s after the deadline.
+	lateResponseGrace = 250 * time.Millisecond
+	// longResponse is the size in bytes above which only the first bytes of a response are due at the client's
+	// deadline.
+	longResponse = upstream.MaxBufferedBody
+)
+
+// streamDeadline ends a streamed response that its server has not given in time: a response whose length is at most
+// longResponse bytes, or of which, if it has no declared length, no more have arrived by then. What has arrived counts,
+// so a client that reads slowly does not make a response overdue.
+type streamDeadline struct {
+	at       time.Time
+	response *upstream.Stream
+	client   *http.ResponseController
+	timer    *time.Timer
+	decide   sync.Once   // decides whether the response is overdue
+	overdue  atomic.Bool // it is, and was ended
+
+	// lifted is set if the response has no deadline, or has met it. Only the goroutine that reads the response uses it.
+	lifted bool
+}
+
+// startStreamDeadline starts the deadline of a response that is read from response and written to client. The caller
+// must call stop before it finishes response.
+func startStreamDeadline(response *upstream.Stream, client *http.ResponseController, at time.Time) *streamDeadline {
+	d := &streamDeadline{at: at, response: response, client: client}
+	if response.Length() > longResponse {
+		d.lifted = true
+		return d
+	}
+	d.timer = time.AfterFunc(time.Until(at), func() { d.check() })
+	return d
+}
+
+// stop ends the deadline. No check runs after stop has returned.
+func (d *streamDeadline) stop() {
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.decide.Do(func() {})
+}
+
+// check decides, once the deadline has passed, whether the response is overdue, and ends it if it is. Any goroutine may
+// call it, but not during a read that has no deadline.
+func (d *streamDeadline) check() (isOverdue bool) {
+	d.decide.Do(func() {
+		if d.response.HasArrived(longResponse) {
+			return
+		}
+		d.overdue.Store(true)
+		d.response.Abort()
+		_ = d.client.SetWriteDeadline(expiredDeadline) // fails on a closed connection
+	})
+	return d.isOverdue()
+}
+
+// isOverdue reports whether the response was ended because it is overdue.
+func (d *streamDeadline) isOverdue() bool { return d.overdue.Load() }
+
+// readDeadline returns the deadline of the next read, or the zero time if there is none. A read ends at the deadline of
+// the response, so that a check does not have to wait for it.
+func (d *streamDeadline) readDeadline() time.Time {
+	if d.lifted {
+		return time.Time{}
+	}
+	return d.at
+}
+
+// hasPassed reports whether the deadline has passed and was not lifted.
+func (d *streamDeadline) hasPassed() bool { return !d.lifted && !time.Now().Before(d.at) }
+
+// liftIfLong lifts the deadline if the response is known to be long.
+func (d *streamDeadline) liftIfLong() {
+	if !d.lifted && d.response.Received() > longResponse {
+		d.lift()
+	}
+}
+
+// lift ends the deadline of a response that goes on.
+func (d *streamDeadline) lift() {
+	d.lifted = true
+	d.stop()
+}
--- /dev/null
+++ b/internal/sidecar/trickling_response_test.go
@@ -0,0 +1,195 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"milletramp.example/milletramp/internal/lab/testserver"
+	"milletramp.example/milletramp/internal/upstream"
+)
+
+const (
+	// trickleInterval is the time between two pieces of a response that trickles: less than any limit on silence, and more
+	// than the time for which the beginning of a response without a length is buffered.
+	trickleInterval = 200 * time.Millisecond
+	// trickleTimeout is the time that clients wait for such a response.
+	trickleTimeout = time.Second
+	// finalResponseGrace is the time after a client's timeout from which a final response is lost, with the tolerance of
+	// the network.
+	finalResponseGrace = 550 * time.Millisecond
+	chunkedHead        = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// trickle is a response that never ends: its beginning, and the piece that is then repeated.
+type trickle struct{ name, begin, piece string }
+
+// trickles are responses that never end, by what trickles. Their servers are never silent for long.
+var trickles = []trickle{
+	{"chunks", chunkedHead, "4\r\nbag \r\n"},
+	{"data of a chunk", chunkedHead + "ffff\r\n", "x"},
+	{"data of a very long chunk", chunkedHead + "ffffff\r\n", "x"},
+	{"chunk extension", chunkedHead + "4\r\nbag \r\n1;", "x"},
+	{"trailer field", chunkedHead + "4\r\nbag \r\n0\r\nX: ", "x"},
+	{"trailer fields", chunkedHead + "4\r\nbag \r\n0\r\n", "X: 1\r\n"},
+	{"nothing, after a chunk", chunkedHead + "4\r\nbag \r\n", ""},
+	{"body that the close ends", "HTTP/1.1 200 OK\r\n\r\nbag", "x"},
+	{"body of 60,000 bytes", "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", "x"},
+	{"body of 64 KiB", "HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n", "x"},
+	{"status line", "HTTP/1.1 200 ", "x"},
+	{"header fields", "HTTP/1.1 200 OK\r\n", "X: 1\r\n"},
+	{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+	{"body of an error", "HTTP/1.1 500 X\r\nContent-Length: 60000\r\n\r\n", "x"},
+	{"body of a refusal", "HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+}
+
+// send is a testserver.Handler that sends the response until the sidecar closes the connection.
+func (f trickle) send(c net.Conn, _ *http.Request, _ []byte) bool {
+	_, err := io.WriteString(c, f.begin)
+	for err == nil {
+		time.Sleep(trickleInterval)
+		_, err = io.WriteString(c, f.piece)
+		if f.piece == "" {
+			return testserver.NeverRespond(c, nil, nil)
+		}
+	}
+	return false
+}
+
+// requestWithTimeout returns a request of a class of testserver.Settings with trickleTimeout.
+func requestWithTimeout(id, class string) string {
+	method, extra, body := "POST", "Content-Length: 2\r\n", "ok"
+	switch class {
+	case "read":
+		method, extra, body = "GET", "", ""
+	case "book":
+		extra += "Idempotency-Key: k-" + id + "\r\n"
+	}
+	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s\r\n%s",
+		method, id, class, trickleTimeout.Milliseconds(), extra, body)
+}
+
+// expectEndInTime sends a request and expects a final response in time: one that is complete, or one of status 200 of
+// which the client can tell that it is not.
+func expectEndInTime(t *testing.T, p *program, class string) {
+	t.Helper()
+	conn := p.DialConn()
+	if _, err := io.WriteString(conn, requestWithTimeout("id-1", class)); err != nil {
+		t.Fatal(err)
+	}
+	sentAt := time.Now()
+	_ = conn.SetReadDeadline(sentAt.Add(trickleTimeout + 5*time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if took := time.Since(sentAt); took > trickleTimeout+finalResponseGrace {
+		t.Errorf("status %d, %d bytes, error %v: ended after %v", resp.StatusCode, len(body), err, took)
+	}
+	if isComplete := err == nil; isComplete == (resp.StatusCode == http.StatusOK) {
+		t.Errorf("status %d, %d bytes, error %v: the client cannot tell whether it is complete", resp.StatusCode, len(body), err)
+	}
+}
+
+// TestTricklingResponsesEndInTime guards against clients that get no final response because a server sends a response
+// without an end: each piece came before any limit on silence, and nothing limited the whole (review/9).
+func TestTricklingResponsesEndInTime(t *testing.T) {
+	for _, form := range trickles {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel() // a case mostly waits for its server
+			expectEndInTime(t, startWithBackends(t, testserver.StartBackend(t, form.send)), "pay")
+		})
+	}
+}
+
+// TestTricklingAttemptsEndInTime guards against the same in each attempt at a request of each effect: the first one, a
+// retry, and a hedged request beside a response that has stalled.
+func TestTricklingAttemptsEndInTime(t *testing.T) {
+	refuse := testserver.Respond(503, "X-Not-Processed: 1\r\n", "")
+	stall := func(c net.Conn, r *http.Request, body []byte) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		return testserver.NeverRespond(c, r, body)
+	}
+	for _, tt := range []struct {
+		name    string
+		first   testserver.Handler // answers the first attempt; nil: it trickles
+		classes []string
+	}{
+		{"first attempt", nil, []string{"read", "book", "pay"}},
+		{"retry", refuse, []string{"read", "book", "pay"}},
+		{"hedged request", stall, []string{"read", "book"}},
+	} {
+		for _, class := range tt.classes {
+			t.Run(tt.name+", "+class, func(t *testing.T) {
+				t.Parallel()
+				expectTricklingAttemptEnds(t, tt.first, class)
+			})
+		}
+	}
+}
+
+// expectTricklingAttemptEnds sends a request to two servers. The first attempt is answered by first, unless that is nil,
+// and every other one by chunks without an end.
+func expectTricklingAttemptEnds(t *testing.T, first testserver.Handler, class string) {
+	t.Helper()
+	var once sync.Once
+	trickled := make(chan bool, 10)
+	handler := func(c net.Conn, r *http.Request, body []byte) (keepOpen bool) {
+		isFirst := false
+		once.Do(func() { isFirst = first != nil })
+		if isFirst {
+			return first(c, r, body)
+		}
+		trickled <- true
+		return trickles[0].send(c, r, body)
+	}
+	text := configFor(t, testserver.StartBackend(t, handler), testserver.StartBackend(t, handler))
+	expectEndInTime(t, start(t, allowHedging.Replace(shortTimes.Replace(text))), class)
+	if len(trickled) == 0 {
+		t.Error("no attempt got the response that trickles")
+	}
+}
+
+// TestLongResponsesMayTrickle guards against long responses that are ended because they are slow: only their first bytes
+// are due at the client's timeout. If they have no length, they are known to be long once more than 64 KiB have arrived.
+func TestLongResponsesMayTrickle(t *testing.T) {
+	const pieces, piece = 12, 100 // 2.4 s, longer than the client's timeout with all grace
+	for _, tt := range []struct {
+		form  bodyForm
+		first int
+	}{
+		{bodyForms[0], 1},
+		{bodyForms[1], upstream.MaxBufferedBody + 1},
+		{bodyForms[2], upstream.MaxBufferedBody + 1},
+	} {
+		handler := func(c net.Conn, _ *http.Request, _ []byte) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", tt.form.header)
+			err := tt.form.write(c, strings.Repeat("x", tt.first))
+			for range pieces {
+				time.Sleep(trickleInterval)
+				err = tt.form.write(c, strings.Repeat("x", piece))
+			}
+			if err == nil {
+				err = tt.form.write(c, strings.Repeat("x", streamedBytes-tt.first-pieces*piece))
+			}
+			_, _ = io.WriteString(c, tt.form.end)
+			return err == nil && tt.form.header != "Connection: close\r\n"
+		}
+		t.Run(tt.form.name, func(t *testing.T) {
+			t.Parallel()
+			p := startWithBackends(t, testserver.StartBackend(t, handler))
+			got := p.Do(p.NewRequest(context.Background(), "pay", fmt.Sprint(trickleTimeout.Milliseconds())))
+			if got.Err != nil || got.Status != http.StatusOK || len(got.Body) != streamedBytes {
+				t.Errorf("status %d, %d of %d bytes, error %v", got.Status, len(got.Body), streamedBytes, got.Err)
+			}
+		})
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -188,6 +188,7 @@
 func (a *attempt) receiveResponse(ctx context.Context, conn *serverConn) (r Response, reusable bool, err error) {
 	conn.limitedReader.N = initialReadLimit
 	conn.readTimeout = 0
+	conn.readBy = time.Time{}
 	if _, err := conn.reader.Peek(1); err != nil {
 		return Response{}, false, err
 	}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -33,6 +33,7 @@
 	conn      *serverConn
 	length    int64            // declared length in bytes, or unknownLength
 	remaining int64            // unread bytes of a body of declared length
+	received  int64            // bytes that were read
 	decoder   *chunked.Decoder // nil: not chunked
 	ended     bool             // a body without a declared length was read completely
 }
@@ -77,7 +78,8 @@
 
 // Read implements io.Reader. It waits only until some bytes are available, and can be called again after it failed with
 // os.ErrDeadlineExceeded.
-func (b *serverBody) Read(p []byte) (int, error) {
+func (b *serverBody) Read(p []byte) (n int, err error) {
+	defer func() { b.received += int64(n) }()
 	switch {
 	case b.isComplete():
 		return 0, io.EOF
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,6 +33,7 @@
 	// maxBufferedBody is the size in bytes up to which the body of a response is buffered.
 	maxBufferedBody int
 	readTimeout     time.Duration // maximum wait for the next bytes; 0: unlimited
+	readBy          time.Time     // end of all reads that have a readTimeout; zero: none
 	stallTimeout    time.Duration // wait for the next bytes after which onStall is called
 	onStall         func()        // called once if a read waits for stallTimeout; nil: not called
 
@@ -98,7 +99,7 @@
 // Write implements net.Conn.
 func (c *serverConn) Write(p []byte) (int, error) { return netretry.Write(c.Conn, p) }
 
-// beginWait starts a read, and sets the read deadline to the end of the timeout. It keeps the deadline of an aborted
+// beginWait starts a read, and sets the read deadline to its end. It keeps the deadline of an aborted
 // connection, which makes the read fail.
 func (c *serverConn) beginWait(timeout time.Duration) error {
 	c.mu.Lock()
@@ -107,10 +108,19 @@
 	if c.aborted {
 		return nil
 	}
+	return c.SetReadDeadline(c.waitDeadline(timeout))
+}
+
+// waitDeadline returns the end of the read in progress with the given timeout. The caller must hold c.mu.
+func (c *serverConn) waitDeadline(timeout time.Duration) time.Time {
 	if c.maxReadTimeout > 0 {
 		timeout = min(timeout, c.maxReadTimeout)
 	}
-	return c.SetReadDeadline(c.waitingSince.Add(timeout))
+	deadline := c.waitingSince.Add(timeout)
+	if !c.readBy.IsZero() && c.readBy.Before(deadline) {
+		return c.readBy
+	}
+	return deadline
 }
 
 // endWait ends a read that beginWait has started.
@@ -136,7 +146,7 @@
 	}
 	c.maxReadTimeout = limit
 	if !c.aborted && !c.waitingSince.IsZero() {
-		_ = c.SetReadDeadline(c.waitingSince.Add(c.maxReadTimeout)) // fails only on a closed connection
+		_ = c.SetReadDeadline(c.waitDeadline(limit)) // fails only on a closed connection
 	}
 }
 
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // Stream reads the rest of a long response as it arrives. Only one goroutine may read it, and that goroutine must call
 // Finish once.
@@ -8,6 +11,8 @@
 	body             *serverBody
 	connectionCloses bool      // the response has "Connection: close"
 	reusable         chan bool // receives one value: whether the connection can carry another request
+
+	reading sync.Mutex // held during a read
 }
 
 func newStream(body *serverBody) *Stream {
@@ -24,6 +29,8 @@
 // Read implements io.Reader. It waits only until some bytes are available. After any error except io.EOF and
 // os.ErrDeadlineExceeded, the rest of the body is lost.
 func (s *Stream) Read(p []byte) (int, error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
 	n, err := s.body.Read(p)
 	if err != nil && s.body.conn.hasYielded() {
 		err = errStreamYielded
@@ -37,9 +44,29 @@
 // IsComplete reports whether the complete body was read.
 func (s *Stream) IsComplete() bool { return s.body.isComplete() }
 
+// Received returns the number of bytes of the body that were read, including those before the stream. Only the
+// goroutine that reads the stream may call it.
+func (s *Stream) Received() int64 { return s.body.received }
+
+// HasArrived reports whether more than n bytes of the body have arrived, also those that were not read yet, or all that
+// the server gives. It waits for the end of a read in progress. Any goroutine may call it until Finish is called.
+func (s *Stream) HasArrived(n int64) bool {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	return s.body.hasArrived(n)
+}
+
+// Abort ends the stream: the read in progress and all later ones fail. Any goroutine may call it until Finish is
+// called.
+func (s *Stream) Abort() { s.body.conn.abort() }
+
 // SetReadTimeout sets the maximum wait for the next bytes. Only the goroutine that reads the stream may call it.
 func (s *Stream) SetReadTimeout(timeout time.Duration) { s.body.conn.readTimeout = timeout }
 
+// SetReadDeadline sets the time from which reads fail with os.ErrDeadlineExceeded, whatever arrives; zero: none. Only
+// the goroutine that reads the stream may call it.
+func (s *Stream) SetReadDeadline(t time.Time) { s.body.conn.readBy = t }
+
 // LimitSilence limits the wait for the next bytes, also in the read in progress. Any goroutine may call it.
 func (s *Stream) LimitSilence(limit time.Duration) { s.body.conn.limitReadTimeout(limit) }
 
