balance: count a streamed response by its end, not by its beginning

Cause: the result of an attempt whose response is streamed was Served once the response had begun, and counted as a success of its server.

Change: such a result is marked Streaming. An end by the client, by the drain or for want of places is neither. A stream that a restart of its server breaks does not count against the new process.

--- a/balance/api.go
+++ b/balance/api.go
@@ -196,13 +196,23 @@
 	Outcome  Outcome
 	Took     time.Duration // time from Send to the end of the attempt
 	Finished bool          // the request has had its final response
+	// Streaming states that the response has begun and its rest is forwarded as it arrives. StreamEnded follows, and
+	// tells whether the endpoint has failed. It applies to the outcome Served.
+	Streaming bool
+}
+
+// StreamEnd is the end of a response whose beginning was reported by a Result with Streaming.
+type StreamEnd struct {
+	Endpoint string
+	Sent     Time    // when its attempt was sent
+	Outcome  Outcome // Served: complete; Errored or Reset: incomplete through the endpoint's fault; Cancelled: else
 }
 
 // Actions is implemented by the host. A Balancer calls it in reaction to events, which are the methods
-// Request, Result, ResponseStarted, ClientGone, Endpoints and Timer of Balancer. The host calls these in the
-// order in which the events happened, and passes the first list immediately after New. Each Request ends with
-// one final response: a Result that is Finished, Reject or Fail. Each Send ends with one Result, also after
-// the final response.
+// Request, Result, ResponseStarted, StreamEnded, ClientGone, Endpoints and Timer of Balancer. The host calls
+// these in the order in which the events happened, and passes the first list immediately after New. Each
+// Request ends with one final response: a Result that is Finished, Reject or Fail. Each Send ends with one
+// Result, also after the final response.
 //
 // Misuse never panics: an unknown request, attempt, timer or removed endpoint, an ID that is used twice and a
 // repeated result are ignored. A Request whose class is not in the settings is ignored too and gets no
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -106,6 +106,7 @@
 		{"result of a negative attempt", func() { b.Result(h.now, Result{ID: 1, Attempt: -1}) }},
 		{"response to an unknown request", func() { b.ResponseStarted(h.now, 7, 0) }},
 		{"response to an attempt not sent", func() { b.ResponseStarted(h.now, 1, 4) }},
+		{"stream of an unknown endpoint", func() { b.StreamEnded(h.now, StreamEnd{Endpoint: "z", Outcome: Reset}) }},
 		{"unknown client gone", func() { b.ClientGone(h.now, 7) }},
 		{"unknown endpoint removed", func() { b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "z", State: Removed}}) }},
 		{"unknown timer", func() { b.Timer(h.now, 99) }},
--- a/balance/outlier.go
+++ b/balance/outlier.go
@@ -52,7 +52,26 @@
 	if r.Outcome == Served || r.Outcome == TimedOut && !lost {
 		b.recordTimeSample(a, r, now)
 	}
-	b.recordFailure(a, r, now)
+	if r.Outcome == Served && r.Streaming {
+		b.recordResponse(a.endpoint, now)
+		return
+	}
+	b.recordFailure(a.endpoint, a.sent, r.Outcome, now)
+}
+
+// StreamEnded records the end of a streamed response. An endpoint whose responses begin and then break counts
+// as failing, like one whose attempts fail: the beginning of a response is no success.
+func (b *Balancer) StreamEnded(now Time, end StreamEnd) {
+	e := b.known[end.Endpoint]
+	if e != nil && end.Sent >= e.Started { // responses of a previous process do not apply to the current one
+		b.recordFailure(e, end.Sent, end.Outcome, now)
+	}
+}
+
+// recordResponse records that an endpoint has responded.
+func (b *Balancer) recordResponse(e *endpoint, now Time) {
+	e.lastResponse = now
+	b.notifyObserver(e, ObservedResponse)
 }
 
 // recordTimeSample records the time that an attempt was in flight as a sample of its endpoint's response
@@ -80,21 +99,19 @@
 	return [...]*group{e.homeGroup, b.allEndpoints, &b.zoneResponseTimes[e.zoneIndex]}
 }
 
-// recordFailure counts an attempt as a success or a failure of its endpoint, and ejects an endpoint that
+// recordFailure counts the outcome of an attempt as a success or a failure of its endpoint, and ejects an endpoint that
 // fails much more often than the others. An endpoint that fails fast would otherwise seem idle and get all
 // requests. The failure share is compared with that of the other endpoints: if connections break or responses
 // are invalid at all endpoints alike, an absolute limit would eject each of them. Connections that break
 // together count as one failure. Only attempts sent after that failure show whether the fault persists.
-func (b *Balancer) recordFailure(a *attempt, r Result, now Time) {
-	e := a.endpoint
+func (b *Balancer) recordFailure(e *endpoint, sent Time, outcome Outcome, now Time) {
 	othersShare := (b.failedAttempts - e.failedAttempts) / math.Max(b.endedAttempts-e.endedAttempts, 1)
 	e.endedAttempts++
 	b.endedAttempts++
-	switch r.Outcome {
+	switch outcome {
 	case Served:
-		e.lastResponse = now
 		e.failureAlarm.RecordSuccess(othersShare, ejectFailureShare)
-		b.notifyObserver(e, ObservedResponse)
+		b.recordResponse(e, now)
 		return
 	case ConnectFailed:
 		b.notifyObserver(e, ObservedConnectFailure)
@@ -105,7 +122,7 @@
 	}
 	e.failedAttempts++
 	b.failedAttempts++
-	if a.sent < max(e.ejectedUntil, e.lastFailure) {
+	if sent < max(e.ejectedUntil, e.lastFailure) {
 		return
 	}
 	e.lastFailure = now
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -125,12 +125,13 @@
 	}
 	r.attemptsInFlight--
 	l.balancer.Result(l.now, balance.Result{
-		ID:       r.requestID,
-		Attempt:  a.index,
-		Endpoint: a.endpoint,
-		Outcome:  response.Outcome,
-		Took:     l.now - a.startAt,
-		Finished: r.completed.Load(),
+		ID:        r.requestID,
+		Attempt:   a.index,
+		Endpoint:  a.endpoint,
+		Outcome:   response.Outcome,
+		Took:      l.now - a.startAt,
+		Finished:  r.completed.Load(),
+		Streaming: response.Remainder != nil,
 	})
 	// The response is delivered after the Balancer has cancelled hedged requests, which could otherwise be sent after
 	// the final response.
@@ -140,11 +141,18 @@
 			body:        response.Body,
 			contentType: response.ContentType,
 			remainder:   response.Remainder,
+			source:      streamSource{endpoint: a.endpoint, sentAt: a.startAt},
 		}
 	}
 	l.releaseIfDone(r)
 }
 
+// endStream reports the end of a streamed response to the Balancer.
+func (l *EventLoop) endStream(source streamSource, outcome balance.Outcome) {
+	end := balance.StreamEnd{Endpoint: source.endpoint, Sent: source.sentAt, Outcome: outcome}
+	l.Post(func() { l.balancer.StreamEnded(l.now, end) })
+}
+
 // Cancel implements balance.Actions. It cancels an attempt; the goroutine of the attempt posts the result. While the
 // request waits for its response, an attempt whose response has begun is not cancelled in favor of another one, as its
 // server would be cut off.
--- a/internal/proxy/inflight_request.go
+++ b/internal/proxy/inflight_request.go
@@ -61,11 +61,18 @@
 	policyChanged                     // no response yet: the policy of the request is no longer in force
 )
 
+// streamSource identifies the attempt whose response is streamed.
+type streamSource struct {
+	endpoint string
+	sentAt   balance.Time
+}
+
 // finalResponse is the final response to a request.
 type finalResponse struct {
 	kind        responseKind
 	body        []byte           // served: the complete body, or its first part if remainder is set
 	contentType string           // served: the server's Content-Type; empty if it sent none
 	remainder   *upstream.Stream // served: the rest of the body; nil if body is complete
+	source      streamSource     // served: where remainder comes from
 	retryAfter  time.Duration    // rejected: value of Retry-After; 0 for none
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -105,6 +105,7 @@
 	case response := <-r.response:
 		if response.remainder != nil {
 			response.remainder.Finish(false)
+			l.endStream(response.source, balance.Cancelled)
 		}
 	default:
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"milletramp.example/milletramp/balance"
 	"milletramp.example/milletramp/internal/upstream"
 )
 
@@ -57,6 +58,7 @@
 	deadline := startStreamDeadline(remainder, client, conn, request.deadline.Add(lateResponseGrace))
 	defer deadline.stop()
 	err := h.copyStream(w, conn, response.body, remainder, deadline)
+	h.loop.endStream(response.source, h.streamOutcome(r, err))
 	if err == nil {
 		isComplete = true
 		request.counters.Served.Add(1)
@@ -70,6 +72,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// streamOutcome returns the outcome of a stream that ended with err. It is a failure of the server only if neither the
+// client nor this process had a part in the end.
+func (h *Handler) streamOutcome(r *http.Request, err error) balance.Outcome {
+	switch {
+	case err == nil:
+		return balance.Served
+	case errors.Is(err, errOverdue):
+		return balance.Errored
+	case !errors.Is(err, errServerRead) || errors.Is(err, upstream.ErrStreamYielded),
+		r.Context().Err() != nil, h.shutdown.Err() != nil:
+		return balance.Cancelled
+	}
+	return balance.Reset
+}
+
 // endStalledStream ends a stream whose server has sent nothing since the drain began. It is called at shutdown. A
 // stream that its server continues is not ended: the process waits for it, and may be killed. That does not count as a
 // lost response, since no response to a request received late in the drain is streamed.
--- a/internal/sidecar/trickling_response_test.go
+++ b/internal/sidecar/trickling_response_test.go
@@ -193,3 +193,20 @@
 		})
 	}
 }
+
+// TestServerWhoseResponsesNeverEndIsEjected guards against a server that stays in rotation although none of its responses
+// has an end: their beginnings were counted as successes, and their ends were not reported.
+func TestServerWhoseResponsesNeverEndIsEjected(t *testing.T) {
+	const maxRequests, timeoutMS = 30, "500" // the response begins before the timeout
+	sound := testserver.Respond(200, "", "ok")
+	text := configFor(t, testserver.StartBackend(t, trickles[0].send), testserver.StartBackend(t, sound),
+		testserver.StartBackend(t, sound))
+	p := start(t, text)
+	for range maxRequests {
+		p.Do(p.NewRequest(context.Background(), "read", timeoutMS))
+		if p.ejections.Load() > 0 {
+			return
+		}
+	}
+	t.Errorf("the server is not ejected after %d requests", maxRequests)
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -26,9 +26,9 @@
 // errStreamDeclined means that the caller declined to stream a long response.
 var errStreamDeclined = errors.New("streaming of the response declined")
 
-// errStreamYielded means that a stream was ended because its server was silent and its connections were needed for
+// ErrStreamYielded means that a stream was ended because its server was silent and its connections were needed for
 // other requests.
-var errStreamYielded = errors.New("response ended in favor of other requests, as its server was silent")
+var ErrStreamYielded = errors.New("response ended in favor of other requests, as its server was silent")
 
 // errMalformedResponse means that the response cannot be parsed. The server may have processed the request.
 var errMalformedResponse = errors.New("malformed response")
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -33,7 +33,7 @@
 	defer s.reading.Unlock()
 	n, err := s.body.Read(p)
 	if err != nil && s.body.conn.hasYielded() {
-		err = errStreamYielded
+		err = ErrStreamYielded
 	}
 	return n, err
 }
--- a/internal/upstream/stream_set_test.go
+++ b/internal/upstream/stream_set_test.go
@@ -69,8 +69,8 @@
 	case <-time.After(2 * yieldSilence):
 	}
 	sendRequest(client, "s-2", newGetRequest())
-	if err := testserver.Receive(t, silentEnded, "end of the silent stream"); !errors.Is(err, errStreamYielded) {
-		t.Errorf("silent stream ended with %v, want errStreamYielded", err)
+	if err := testserver.Receive(t, silentEnded, "end of the silent stream"); !errors.Is(err, ErrStreamYielded) {
+		t.Errorf("silent stream ended with %v, want ErrStreamYielded", err)
 	}
 	testserver.Eventually(t, func() string {
 		if response := sendRequest(client, "s-2", newGetRequest()); response.Outcome != balance.Served {
