--- a/internal/sidecar/trickling_response_test.go
+++ b/internal/sidecar/trickling_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,8 +79,8 @@
 }
 
 // expectEndInTime sends a request and expects a final response in time: one that is complete, or one of status 200 of
-// which the client can tell that it is not.
-func expectEndInTime(t *testing.T, p *program, class string) {
+// which the client can tell that it is not. It calls during, unless that is nil, once the response has begun.
+func expectEndInTime(t *testing.T, p *program, class string, during func()) {
 	t.Helper()
 	conn := p.DialConn()
 	if _, err := io.WriteString(conn, requestWithTimeout("id-1", class)); err != nil {
@@ -90,6 +92,9 @@
 	if err != nil {
 		t.Fatalf("no response: %v", err)
 	}
+	if during != nil {
+		during()
+	}
 	body, err := io.ReadAll(resp.Body)
 	if took := time.Since(sentAt); took > trickleTimeout+finalResponseGrace {
 		t.Errorf("status %d, %d bytes, error %v: ended after %v", resp.StatusCode, len(body), err, took)
@@ -105,7 +110,20 @@
 	for _, form := range trickles {
 		t.Run(form.name, func(t *testing.T) {
 			t.Parallel() // a case mostly waits for its server
-			expectEndInTime(t, startWithBackends(t, testserver.StartBackend(t, form.send)), "pay")
+			expectEndInTime(t, startWithBackends(t, testserver.StartBackend(t, form.send)), "pay", nil)
+		})
+	}
+}
+
+// TestTricklingResponsesEndInTimeWithLittleMemory guards against the same where memory is short: responses of a declared
+// length up to 64 KiB are streamed, too.
+func TestTricklingResponsesEndInTimeWithLittleMemory(t *testing.T) {
+	for _, form := range trickles {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			text := configFor(t, testserver.StartBackend(t, form.send))
+			p := start(t, strings.Replace(text, `"memory_mb":192`, `"memory_mb":32`, 1))
+			expectEndInTime(t, p, "read", nil)
 		})
 	}
 }
@@ -152,7 +170,7 @@
 		return trickles[0].send(c, r, body)
 	}
 	text := configFor(t, testserver.StartBackend(t, handler), testserver.StartBackend(t, handler))
-	expectEndInTime(t, start(t, allowHedging.Replace(shortTimes.Replace(text))), class)
+	expectEndInTime(t, start(t, allowHedging.Replace(shortTimes.Replace(text))), class, nil)
 	if len(trickled) == 0 {
 		t.Error("no attempt got the response that trickles")
 	}
@@ -194,6 +212,65 @@
 	}
 }
 
+// TestTricklingResponsesEndInTimeWhileProcessChanges guards against responses without an end whose time runs out while
+// the process drains, alone or beside a successor, or has got new settings. A process that drains must not wait for them.
+func TestTricklingResponsesEndInTimeWhileProcessChanges(t *testing.T) {
+	t.Run("drain", func(t *testing.T) {
+		t.Parallel()
+		p := startWithBackends(t, testserver.StartBackend(t, trickles[0].send))
+		expectEndInTime(t, p, "pay", p.stop)
+		p.expectCleanExit()
+	})
+	t.Run("upgrade", func(t *testing.T) {
+		t.Parallel()
+		dir := t.TempDir()
+		text := configFor(t, testserver.StartBackend(t, trickles[0].send))
+		p := startWith(t, text, startOptions{env: []string{"TMPDIR=" + dir}})
+		joinAsSuccessor(t, dir)
+		expectEndInTime(t, p, "pay", p.stop)
+		p.expectCleanExit()
+	})
+	t.Run("reload", func(t *testing.T) {
+		t.Parallel()
+		text := configFor(t, testserver.StartBackend(t, trickles[0].send))
+		p := start(t, text)
+		expectEndInTime(t, p, "pay", func() {
+			writeFile(t, p.configFile, strings.ReplaceAll(text, `"deadline_s":60.0`, `"deadline_s":50.0`))
+			p.reloadSignals <- syscall.SIGHUP
+			testserver.Eventually(t, func() string {
+				longest := p.operator.server.Load().handler.LongestDeadline()
+				if longest != 50*time.Second {
+					return fmt.Sprintf("longest deadline %v after the reload", longest)
+				}
+				return ""
+			})
+		})
+	})
+}
+
+// TestDrainEndsLongResponseThatIsSilentAcrossItsDeadline guards against a process that outlives its drain because of a
+// server that hangs: the deadline of a response that is known to be long does not make its silence seem shorter.
+func TestDrainEndsLongResponseThatIsSilentAcrossItsDeadline(t *testing.T) {
+	t.Parallel()
+	backend := testserver.StartBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		_, _ = io.WriteString(c, chunkedHead)
+		_ = bodyForms[1].write(c, strings.Repeat("x", upstream.MaxBufferedBody+1))
+		return testserver.NeverRespond(c, r, body)
+	})
+	p := start(t, secondDeadlines.Replace(configFor(t, backend)))
+	conn := p.DialConn()
+	fmt.Fprint(conn, requestWithTimeout("id-1", "read"))
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Fatal(err)
+	}
+	stopped := time.Now()
+	p.stop()
+	p.expectCleanExit()
+	if took := time.Since(stopped); took > earliestKill {
+		t.Errorf("the process ended %v after its stop, and may be killed after %v", took, earliestKill)
+	}
+}
+
 // TestServerWhoseResponsesNeverEndIsEjected guards against a server that stays in rotation although none of its responses
 // has an end: their beginnings were counted as successes, and their ends were not reported.
 func TestServerWhoseResponsesNeverEndIsEjected(t *testing.T) {
@@ -210,3 +287,28 @@
 	}
 	t.Errorf("the server is not ejected after %d requests", maxRequests)
 }
+
+// TestTricklingRequestBodiesAreRejected guards against clients that send a body without an end and hold a connection: they
+// get an error or a close within 3 s of their connecting, whatever trickles.
+func TestTricklingRequestBodiesAreRejected(t *testing.T) {
+	const maxTime = 3 * time.Second
+	head := testserver.RequestHead("POST", "slow-1", "pay")
+	p := startWithBackends(t, startBackend(t, "ok"))
+	for _, form := range []trickle{
+		{"declared length", head + "Content-Length: 60000\r\n\r\n", "x"},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		{"trailer fields", head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X: 1\r\n"},
+	} {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			conn := p.DialConn()
+			dialledAt := time.Now()
+			go form.send(conn, nil, nil) // ends with the connection
+			response, err := io.ReadAll(conn)
+			if took := time.Since(dialledAt); took > maxTime || bytes.Contains(response, []byte(" 200 ")) {
+				t.Errorf("%q and error %v after %v, want an error within %v", response, err, took, maxTime)
+			}
+		})
+	}
+}
