--- a/balance/api.go
+++ b/balance/api.go
@@ -196,16 +196,18 @@
 	Outcome  Outcome
 	Took     time.Duration // time from Send to the end of the attempt
 	Finished bool          // the request has had its final response
-	// Streaming states that the response has begun and its rest is forwarded as it arrives. StreamEnded follows, and
-	// tells whether the endpoint has failed. It applies to the outcome Served.
+	// Streaming states that the response has begun and its rest is forwarded as it arrives. StreamEnded
+	// follows, and tells whether the endpoint has failed. It applies to the outcome Served.
 	Streaming bool
 }
 
 // StreamEnd is the end of a response whose beginning was reported by a Result with Streaming.
 type StreamEnd struct {
 	Endpoint string
-	Sent     Time    // when its attempt was sent
-	Outcome  Outcome // Served: complete; Errored or Reset: incomplete through the endpoint's fault; Cancelled: else
+	Sent     Time // when its attempt was sent
+	// Outcome is Served if the response is complete, Errored or Reset if it is incomplete through the fault of
+	// the endpoint, and else Cancelled.
+	Outcome Outcome
 }
 
 // Actions is implemented by the host. A Balancer calls it in reaction to events, which are the methods
--- a/balance/outlier.go
+++ b/balance/outlier.go
@@ -99,11 +99,12 @@
 	return [...]*group{e.homeGroup, b.allEndpoints, &b.zoneResponseTimes[e.zoneIndex]}
 }
 
-// recordFailure counts the outcome of an attempt as a success or a failure of its endpoint, and ejects an endpoint that
-// fails much more often than the others. An endpoint that fails fast would otherwise seem idle and get all
-// requests. The failure share is compared with that of the other endpoints: if connections break or responses
-// are invalid at all endpoints alike, an absolute limit would eject each of them. Connections that break
-// together count as one failure. Only attempts sent after that failure show whether the fault persists.
+// recordFailure counts the outcome of an attempt as a success or a failure of its endpoint, and ejects an
+// endpoint that fails much more often than the others. An endpoint that fails fast would otherwise seem idle
+// and get all requests. The failure share is compared with that of the other endpoints: if connections break
+// or responses are invalid at all endpoints alike, an absolute limit would eject each of them. Connections
+// that break together count as one failure. Only attempts sent after that failure show whether the fault
+// persists.
 func (b *Balancer) recordFailure(e *endpoint, sent Time, outcome Outcome, now Time) {
 	othersShare := (b.failedAttempts - e.failedAttempts) / math.Max(b.endedAttempts-e.endedAttempts, 1)
 	e.endedAttempts++
