proxy: name what the functions of the stream deadline do

check, end and stop do not say on what they act: endIfOverdue, interruptWrite and disarm do. Names and comments only; the tests of proxy pass with -race.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -56,7 +56,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	deadline := startStreamDeadline(remainder, client, conn, request.deadline.Add(lateResponseGrace))
-	defer deadline.stop()
+	defer deadline.disarm()
 	err := h.copyStream(w, conn, response.body, remainder, deadline)
 	h.loop.endStream(response.source, h.streamOutcome(r, err))
 	if err == nil {
@@ -128,7 +128,7 @@
 		switch {
 		case err == nil || errors.Is(err, io.EOF):
 			return n, nil
-		case errors.Is(err, os.ErrDeadlineExceeded) && deadline.hasPassed() && !deadline.check():
+		case errors.Is(err, os.ErrDeadlineExceeded) && deadline.hasPassed() && !deadline.endIfOverdue():
 			deadline.lift()
 		case deadline.isOverdue():
 			return 0, errOverdue
--- a/internal/proxy/stream_deadline.go
+++ b/internal/proxy/stream_deadline.go
@@ -35,7 +35,7 @@
 }
 
 // startStreamDeadline starts the deadline of a response that is read from response and written to client by writer. The
-// caller must call stop before it finishes response.
+// caller must call disarm before it finishes response.
 func startStreamDeadline(response *upstream.Stream, client ClientConn, writer *http.ResponseController,
 	at time.Time) *streamDeadline {
 	d := &streamDeadline{at: at, response: response, client: client, writer: writer}
@@ -43,35 +43,35 @@
 		d.lifted = true
 		return d
 	}
-	d.timer = time.AfterFunc(time.Until(at), func() { d.check() })
+	d.timer = time.AfterFunc(time.Until(at), func() { d.endIfOverdue() })
 	return d
 }
 
-// stop ends the deadline. No check runs after stop has returned.
-func (d *streamDeadline) stop() {
+// disarm ends the deadline. The response is not ended after disarm has returned.
+func (d *streamDeadline) disarm() {
 	if d.timer != nil {
 		d.timer.Stop()
 	}
 	d.decide.Do(func() {})
 }
 
-// check decides, once the deadline has passed, whether the response is overdue, and ends it if it is. Any goroutine may
-// call it, but not during a read that has no deadline.
-func (d *streamDeadline) check() (isOverdue bool) {
+// endIfOverdue decides, once the deadline has passed, whether the response is overdue, and ends it if it is. Any
+// goroutine may call it.
+func (d *streamDeadline) endIfOverdue() (isOverdue bool) {
 	d.decide.Do(func() {
 		if d.response.HasArrived(longResponse) {
 			return
 		}
 		d.overdue.Store(true)
-		d.end()
+		d.interruptWrite()
 	})
 	return d.isOverdue()
 }
 
-// end ends the write in progress. A read in progress ends by itself at the deadline. If the client reads slowly, its
-// connection is reset, so that the end reaches it in time. net/http closes the connection when the write fails, so this
-// has to be decided before.
-func (d *streamDeadline) end() {
+// interruptWrite ends the write in progress. A read in progress ends by itself at the deadline. If the client reads
+// slowly, its connection is reset, so that the end reaches it in time. net/http closes the connection when the write
+// fails, so this has to be decided before.
+func (d *streamDeadline) interruptWrite() {
 	if d.client != nil {
 		d.client.ResetIfUndelivered()
 	}
@@ -81,8 +81,8 @@
 // isOverdue reports whether the response was ended because it is overdue.
 func (d *streamDeadline) isOverdue() bool { return d.overdue.Load() }
 
-// readDeadline returns the deadline of the next read, or the zero time if there is none. A read ends at the deadline of
-// the response, so that a check does not have to wait for it.
+// readDeadline returns the deadline of the next read, or the zero time if there is none. As a read ends at the deadline
+// of the response, endIfOverdue does not have to wait for it.
 func (d *streamDeadline) readDeadline() time.Time {
 	if d.lifted {
 		return time.Time{}
@@ -104,5 +104,5 @@
 // lift ends the deadline of a response that goes on.
 func (d *streamDeadline) lift() {
 	d.lifted = true
-	d.stop()
+	d.disarm()
 }
