upstream, downstream: what the system tells of a socket, in a file of its own

These stand in socket_state.go and socket.go now. body.go of upstream held a reader of bodies and a buffer of their first part; the buffer has a file of its own. Two functions that differed in an ioctl request are one (socketCounter). Code is moved, not changed; the tests of both packages pass with -race.

--- a/internal/upstream/arrival.go
+++ b/internal/upstream/arrival.go
@@ -1,14 +1,6 @@
 package upstream
 
-import (
-	"golang.org/x/sys/unix"
-
-	"milletramp.example/milletramp/internal/chunked"
-	"milletramp.example/milletramp/internal/netretry"
-)
-
-// maxPeekedInput is the maximum number of unread bytes that are looked at to tell how much of a body has arrived.
-const maxPeekedInput = 2 * MaxBufferedBody
+import "milletramp.example/milletramp/internal/chunked"
 
 // hasArrived reports whether more than n bytes of the body have arrived, read or unread, or all that the server gives:
 // the complete body, or its part before the end of the connection. It must not be called during a read.
@@ -47,47 +39,3 @@
 	}
 	return length, isComplete
 }
-
-// peekInput returns the unread bytes that have arrived, at most maxPeekedInput of those that are still in the socket.
-// They are valid until the next read. It must not be called during a read.
-func (c *serverConn) peekInput() []byte {
-	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails, as the bytes are buffered
-	waiting := c.unreadInSocket()
-	if waiting == 0 {
-		return buffered
-	}
-	input := make([]byte, len(buffered)+min(waiting, maxPeekedInput))
-	n := copy(input, buffered)
-	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		_ = netretry.RetryOnEINTR(func() error {
-			peeked, _, err := unix.Recvfrom(int(fd), input[len(buffered):], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-			if err == nil {
-				n += peeked
-			}
-			return err
-		})
-	})
-	return input[:n]
-}
-
-// unreadInSocket returns the number of bytes that have arrived and are still in the socket, or 0 if the system does not
-// tell.
-func (c *serverConn) unreadInSocket() (n int) {
-	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		count, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-		if err == nil {
-			n = count
-		}
-	})
-	return n
-}
-
-// peerClosed reports whether the server has closed its sending side or the connection is broken, even if bytes that
-// arrived before are still unread.
-func (c *serverConn) peerClosed() bool {
-	var events int16
-	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		events, _ = netretry.Poll(int(fd), unix.POLLRDHUP) // on failure no event is set
-	})
-	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -214,46 +214,6 @@
 	_ = c.SetDeadline(pastDeadline) // fails only on a closed connection
 }
 
-// isReusable reports whether the connection is open and has no unread bytes. Unread bytes would be parsed as the
-// response to the next request.
-func (c *serverConn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	nothingToRead := false
-	err := c.rawConn.Read(func(fd uintptr) bool {
-		_, err := netretry.Peek(int(fd))
-		nothingToRead = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && nothingToRead
-}
-
-// hasUnreadInput reports whether bytes that were not parsed have arrived. It does not consume them.
-func (c *serverConn) hasUnreadInput() bool {
-	if c.reader.Buffered() > 0 {
-		return true
-	}
-	unread := 0
-	_ = c.rawConn.Read(func(fd uintptr) bool { // fails only on a closed connection
-		unread, _ = netretry.Peek(int(fd)) // on failure nothing can be read
-		return true
-	})
-	return unread > 0
-}
-
-// undeliveredBytes returns the number of written bytes whose receipt the server's machine has not acknowledged. It
-// returns 0 if the system does not tell.
-func (c *serverConn) undeliveredBytes() (n int) {
-	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
-		count, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		if err == nil {
-			n = count
-		}
-	})
-	return n
-}
-
 // Close closes the connection and discards the bytes that have not reached the server. Otherwise the system would go on
 // sending them, and a server that pauses would process a request long after its attempt was given up.
 func (c *serverConn) Close() error {
