upstream: look at unread bytes with one buffer for all connections

Cause (found on reading): at the deadline of a streamed response, the look at its unread chunks took a buffer of up to 128 KiB of its own. Where many clients read slowly, many deadlines pass at once, and with 32 MB and 1,024 descriptors 341 responses may be in flight: 43 MB.

Change: the pool has one buffer for these looks, which connections use in turn. Only chunked bodies need it; for others the number of unread bytes is enough. The memory was not measured: only a client whose receive buffer is small makes a write wait below 64 KiB.

--- a/internal/upstream/arrival.go
+++ b/internal/upstream/arrival.go
@@ -8,21 +8,19 @@
 	if b.isComplete() || b.received > n || b.conn.peerClosed() {
 		return true
 	}
-	unread, isComplete := b.unreadLength(b.conn.peekInput())
+	unread, isComplete := b.unreadLength()
 	return isComplete || b.received+unread > n
 }
 
-// unreadLength returns the number of bytes of the body in input, the unread bytes of the connection, and whether the
-// body ends in it. The end of a close-delimited body is not in the input.
-func (b *serverBody) unreadLength(input []byte) (length int64, isComplete bool) {
-	length = int64(len(input))
-	switch {
-	case b.length >= 0:
-		return length, length >= b.remaining
-	case b.decoder != nil:
-		return decodedLength(*b.decoder, input)
+// unreadLength returns the number of bytes of the body among the unread bytes of the connection, and whether the body
+// ends there. The end of a close-delimited body is not among them.
+func (b *serverBody) unreadLength() (length int64, isComplete bool) {
+	if b.decoder != nil {
+		b.conn.peekInput(func(input []byte) { length, isComplete = decodedLength(*b.decoder, input) })
+		return length, isComplete
 	}
-	return length, false
+	length = int64(b.conn.reader.Buffered() + b.conn.unreadInSocket())
+	return length, b.length >= 0 && length >= b.remaining
 }
 
 // decodedLength returns the number of data bytes in encoded, the next part of a chunked body, up to the first
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,7 @@
 	textReader    *textproto.Reader // reads from reader
 	// maxBufferedBody is the size in bytes up to which the body of a response is buffered.
 	maxBufferedBody int
+	peekBuffer      *peekBuffer   // shared by the connections of a pool
 	readTimeout     time.Duration // maximum wait for the next bytes; 0: unlimited
 	readBy          time.Time     // end of all reads that have a readTimeout; zero: none
 	stallTimeout    time.Duration // wait for the next bytes after which onStall is called
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,7 @@
 	dial       discovery.DialFunc // nil: over TCP
 	reuseDelay time.Duration      // minimum idle time of a connection before its next request
 	streams    *streamSet         // responses being streamed; a silent one may end at the connection limit
+	peekBuffer *peekBuffer        // for looks at unread bytes
 
 	connectTimeoutNanos atomic.Int64 // timeout for opening a connection
 	idleTimeoutNanos    atomic.Int64 // maximum idle time of a connection
@@ -42,6 +43,7 @@
 		idleConns:  list.New(),
 		reuseDelay: defaultReuseDelay,
 		streams:    newStreamSet(),
+		peekBuffer: &peekBuffer{},
 	}
 	p.maxBufferedBody.Store(MaxBufferedBody)
 	return p
@@ -117,6 +119,7 @@
 	opened, err := newServerConn(conn, target)
 	if err == nil {
 		opened.maxBufferedBody = int(p.maxBufferedBody.Load())
+		opened.peekBuffer = p.peekBuffer
 	}
 	return opened, err
 }
--- a/internal/upstream/socket_state.go
+++ b/internal/upstream/socket_state.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,6 +16,12 @@
 // maxPeekedInput is the maximum number of unread bytes that are looked at to tell how much of a body has arrived.
 const maxPeekedInput = 2 * MaxBufferedBody
 
+// peekBuffer holds the unread bytes of one connection at a time, so that many connections need no more memory.
+type peekBuffer struct {
+	mu   sync.Mutex
+	data []byte // allocated at the first use
+}
+
 // isReusable reports whether the connection is open and has no unread bytes. Unread bytes would be parsed as the
 // response to the next request.
 func (c *serverConn) isReusable() bool {
@@ -42,26 +50,34 @@
 	return unread > 0
 }
 
-// peekInput returns the unread bytes that have arrived, at most maxPeekedInput of those that are still in the socket.
-// They are valid until the next read. It must not be called during a read.
-func (c *serverConn) peekInput() []byte {
+// peekInput passes the unread bytes that have arrived to look, at most maxPeekedInput of those that are still in the
+// socket. look must not keep them. peekInput must not be called during a read.
+func (c *serverConn) peekInput(look func(input []byte)) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails, as the bytes are buffered
-	waiting := c.unreadInSocket()
-	if waiting == 0 {
-		return buffered
+	if c.unreadInSocket() == 0 {
+		look(buffered)
+		return
 	}
-	input := make([]byte, len(buffered)+min(waiting, maxPeekedInput))
-	n := copy(input, buffered)
+	c.peekBuffer.mu.Lock()
+	defer c.peekBuffer.mu.Unlock()
+	c.peekBuffer.data = slices.Grow(c.peekBuffer.data[:0], len(buffered)+maxPeekedInput)
+	input := append(c.peekBuffer.data, buffered...)
+	peeked := c.peekSocket(input[len(input) : len(input)+maxPeekedInput])
+	look(input[:len(input)+len(peeked)])
+}
+
+// peekSocket copies unread bytes from the socket to p, and returns the part of p that was filled.
+func (c *serverConn) peekSocket(p []byte) (filled []byte) {
 	_ = c.rawConn.Control(func(fd uintptr) { // fails only on a closed connection
 		_ = netretry.RetryOnEINTR(func() error {
-			peeked, _, err := unix.Recvfrom(int(fd), input[len(buffered):], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+			n, _, err := unix.Recvfrom(int(fd), p, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 			if err == nil {
-				n += peeked
+				filled = p[:n]
 			}
 			return err
 		})
 	})
-	return input[:n]
+	return filled
 }
 
 // unreadInSocket returns the number of bytes that have arrived and are still in the socket, or 0 if the system does not
