proxy: do not keep the first part of a streamed response until its end

Cause: since the end of a stream is reported to the balancer, the response with its first part (16 to 64 KiB) stayed reachable from the stack while the rest was streamed.

Change: what is used after the beginning is copied out of the response before, as the closures there did already. The bytes of a body are counted where they are read, without a deferred call.

Three loads join the test: answers without an end, answers over 64 KiB that trickle, and these to readers that stop.

--- a/deploy/memory_test.go
+++ b/deploy/memory_test.go
@@ -125,11 +125,33 @@
 	{"readers that stop", func(c net.Conn, number int, _ <-chan struct{}) {
 		_, _ = io.WriteString(c, getHead(number, "long", ""))
 	}},
+	{"answers without an end, to their deadline", func(c net.Conn, number int, _ <-chan struct{}) {
+		_, _ = io.WriteString(c, strings.Replace(getHead(number, "trickle", ""), "15000", "1500", 1))
+		_, _ = io.Copy(io.Discard, c)
+	}},
+	{"answers over 64 KiB that trickle", func(c net.Conn, number int, _ <-chan struct{}) {
+		_, _ = io.WriteString(c, strings.Replace(getHead(number, "long-trickle", ""), "15000", "1500", 1))
+		_, _ = io.Copy(io.Discard, c)
+	}},
+	{"answers over 64 KiB that trickle, to readers that stop", func(c net.Conn, number int, _ <-chan struct{}) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(c, strings.Replace(getHead(number, "long-trickle", ""), "15000", "1500", 1))
+	}},
+}
+
+// trickle sends a piece of an answer now and then, until its client has gone.
+func trickle(w http.ResponseWriter, r *http.Request) {
+	const pause = 100 * time.Millisecond
+	for r.Context().Err() == nil {
+		_, _ = io.WriteString(w, "bag ")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+	}
 }
 
 // TestMemoryUnderConnectedClients guards against a process that passes its memory limit, and is killed, because hundreds
-// of clients are connected at once that write slowly, stop, send heads of many fields or read slowly. Other requests are
-// answered meanwhile.
+// of clients are connected at once that write slowly, stop, send heads of many fields, read slowly or get answers without
+// an end. Other requests are answered meanwhile.
 func TestMemoryUnderConnectedClients(t *testing.T) {
 	const duration = 4 * time.Second
 	for _, load := range memoryLoads {
@@ -155,6 +177,11 @@
 					return
 				}
 			}
+		case "long-trickle":
+			_, _ = w.Write(long)
+			trickle(w, r)
+		case "trickle":
+			trickle(w, r)
 		}
 		fmt.Fprint(w, "ok")
 	})
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -47,7 +47,8 @@
 		_ = client.SetWriteBuffer(clientSendBuffer) // on failure, the default size of the system remains
 	}
 	isComplete := false
-	remainder := response.remainder // the closures must not keep the first part of the body
+	// What is used after the beginning of the stream must not keep the first part of the body.
+	remainder, source := response.remainder, response.source
 	defer func() { remainder.Finish(isComplete) }()
 	defer context.AfterFunc(r.Context(), func() { remainder.LimitSilence(abandonedSilence) })()
 	defer context.AfterFunc(h.shutdown, func() { h.endStalledStream(remainder) })()
@@ -58,7 +59,7 @@
 	deadline := startStreamDeadline(remainder, client, conn, request.deadline.Add(lateResponseGrace))
 	defer deadline.disarm()
 	err := h.copyStream(w, conn, response.body, remainder, deadline)
-	h.loop.endStream(response.source, h.streamOutcome(r, err))
+	h.loop.endStream(source, h.streamOutcome(r, err))
 	if err == nil {
 		isComplete = true
 		request.counters.Served.Add(1)
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -64,8 +64,7 @@
 
 // Read implements io.Reader. It waits only until some bytes are available, and can be called again after it failed with
 // os.ErrDeadlineExceeded.
-func (b *serverBody) Read(p []byte) (n int, err error) {
-	defer func() { b.received += int64(n) }()
+func (b *serverBody) Read(p []byte) (int, error) {
 	switch {
 	case b.isComplete():
 		return 0, io.EOF
@@ -81,6 +80,7 @@
 func (b *serverBody) readDeclared(p []byte) (int, error) {
 	n, err := b.conn.reader.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
+	b.received += int64(n)
 	return n, asUnexpectedEOF(err)
 }
 
@@ -88,6 +88,7 @@
 func (b *serverBody) readToClose(p []byte) (int, error) {
 	n, err := b.conn.reader.Read(p)
 	b.ended = err == io.EOF
+	b.received += int64(n)
 	return n, err
 }
 
@@ -107,6 +108,7 @@
 			return 0, malformed("%v", err)
 		}
 		n = copy(p, data)
+		b.received += int64(n)
 		b.ended = done
 		if _, err := reader.Discard(used); err != nil {
 			return n, err
