proxy: let what the server has given by the client's time tell a long response

Cause: whether a streamed response is long was decided 0.25 s after its client's time. One that passed 64 KiB in between, and had no end, was never ended: by its client's time it had given less, so it was due.

Change: one look at the client's time decides whether a response is due, a second one 0.25 s later whether it is complete.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -34,7 +34,7 @@
 var (
 	errClientWrite = errors.New("writing the response to the client failed")
 	errServerRead  = errors.New("reading the response from the server failed")
-	errOverdue     = fmt.Errorf("%w: it was neither complete nor long at the client's deadline", errServerRead)
+	errOverdue     = fmt.Errorf("%w: it was not long at the client's deadline, and not complete in time", errServerRead)
 )
 
 // stream writes a long response while it arrives from the server, and counts it. If the stream ends early, the handler
@@ -56,7 +56,7 @@
 	if length := remainder.Length(); length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	deadline := startStreamDeadline(remainder, client, conn, request.deadline.Add(lateResponseGrace))
+	deadline := startStreamDeadline(remainder, client, conn, request.deadline.Add(responseMargin))
 	defer deadline.disarm()
 	err := h.copyStream(w, conn, response.body, remainder, deadline)
 	h.loop.endStream(source, h.streamOutcome(r, err))
@@ -123,14 +123,13 @@
 // readPart reads the next part of a body into buffer.
 func readPart(remainder *upstream.Stream, buffer []byte, deadline *streamDeadline) (int, error) {
 	for {
-		deadline.liftIfLong()
-		remainder.SetReadDeadline(deadline.readDeadline())
+		readDeadline := deadline.nextReadDeadline()
+		remainder.SetReadDeadline(readDeadline)
 		n, err := remainder.Read(buffer)
 		switch {
 		case err == nil || errors.Is(err, io.EOF):
 			return n, nil
-		case errors.Is(err, os.ErrDeadlineExceeded) && deadline.hasPassed() && !deadline.endIfOverdue():
-			deadline.lift()
+		case errors.Is(err, os.ErrDeadlineExceeded) && deadline.mayContinue(readDeadline):
 		case deadline.isOverdue():
 			return 0, errOverdue
 		default:
--- a/internal/sidecar/trickling_response_test.go
+++ b/internal/sidecar/trickling_response_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// TestResponsesThatGrowLateEndInTime guards against the same where a response passes 64 KiB only after its client's time:
+// what the server has given by then decides.
+func TestResponsesThatGrowLateEndInTime(t *testing.T) {
+	const late = trickleTimeout + 100*time.Millisecond // before the end of the response
+	for _, form := range bodyForms[1:] {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			p := startWithBackends(t, testserver.StartBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", form.header)
+				err := form.write(c, strings.Repeat("x", upstream.MaxBufferedBody-1000))
+				time.Sleep(late)
+				for err == nil {
+					err = form.write(c, strings.Repeat("x", 2000))
+					time.Sleep(trickleInterval / 10)
+				}
+				return false
+			}))
+			expectEndInTime(t, p, "pay", nil)
+		})
+	}
+}
+
 // TestTricklingAttemptsEndInTime guards against the same in each attempt at a request of each effect: the first one, a
 // retry, and a hedged request beside a response that has stalled.
 func TestTricklingAttemptsEndInTime(t *testing.T) {
--- a/internal/upstream/response_stream.go
+++ b/internal/upstream/response_stream.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -56,6 +57,9 @@
 	return s.body.hasArrived(n)
 }
 
+// HasArrivedCompletely reports whether all that the server gives has arrived. It is HasArrived without a limit.
+func (s *Stream) HasArrivedCompletely() bool { return s.HasArrived(math.MaxInt64) }
+
 // SetReadTimeout sets the maximum wait for the next bytes. Only the goroutine that reads the stream may call it.
 func (s *Stream) SetReadTimeout(timeout time.Duration) { s.body.conn.readTimeout = timeout }
 
