Hold the grace of a streamed response for slow clients and for complete ones

Three mutations of the two looks were not caught: the first look at the end of the grace where a write waits for the client, a response that is complete in the grace ended all the same there, and reads that end at the first look.

--- a/internal/proxy/stream_deadline_test.go
+++ b/internal/proxy/stream_deadline_test.go
@@ -55,20 +55,23 @@
 // the deadline passes, the client does not read, and a write waits for it. A response of which its server has given more
 // than 64 KiB by then, or all, goes on. Any other one ends at once, also for the client.
 func TestSlowClientsDoNotMakeResponsesOverdue(t *testing.T) {
-	const timeout, afterDeadline = 500 * time.Millisecond, time.Second
+	const timeout, inGrace, afterGrace = 500 * time.Millisecond, 100 * time.Millisecond, time.Second
 	const short, long = longResponse - 20_000, longResponse + 20_000
 	const chunked, toClose = "Transfer-Encoding: chunked\r\n\r\n", "Connection: close\r\n\r\n"
 	chunk := func(size int) string { return fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)) }
 	for _, tt := range []struct {
-		name, text, late string // late is sent after the deadline; empty: the server stays silent
-		want             int    // bytes of the body; 0: the response is overdue
+		name, text, late string        // late is sent after the client's timeout; empty: the server stays silent
+		after            time.Duration // from the client's timeout to late
+		want             int           // bytes of the body; 0: the response is overdue
 	}{
-		{"short, complete", chunked + chunk(short) + "0\r\n\r\n", "", short},
-		{"short, incomplete", chunked + chunk(short), "", 0},
-		{"short, late", chunked + chunk(short), "0\r\n\r\n", 0},
-		{"long, late", chunked + chunk(long), chunk(long) + "0\r\n\r\n", 2 * long},
-		{"long, to the close", toClose + strings.Repeat("x", long), strings.Repeat("x", long), 2 * long},
-		{"short, to the close", toClose + strings.Repeat("x", short), "", 0},
+		{"short, complete", chunked + chunk(short) + "0\r\n\r\n", "", 0, short},
+		{"short, complete in the grace", chunked + chunk(short), "0\r\n\r\n", inGrace, short},
+		{"short, incomplete", chunked + chunk(short), "", 0, 0},
+		{"short, late", chunked + chunk(short), "0\r\n\r\n", afterGrace, 0},
+		{"short, long in the grace", chunked + chunk(short), chunk(long), inGrace, 0},
+		{"long, late", chunked + chunk(long), chunk(long) + "0\r\n\r\n", afterGrace, 2 * long},
+		{"long, to the close", toClose + strings.Repeat("x", long), strings.Repeat("x", long), afterGrace, 2 * long},
+		{"short, to the close", toClose + strings.Repeat("x", short), "", 0, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p := startTestProxyWith(t, func(conn net.Conn, r *http.Request, body []byte) bool {
@@ -76,9 +79,9 @@
 				if tt.late == "" {
 					return testserver.NeverRespond(conn, r, body)
 				}
-				time.Sleep(timeout + afterDeadline)
+				time.Sleep(timeout + tt.after)
 				_, _ = io.WriteString(conn, tt.late)
-				return false
+				return tt.want == 0 && testserver.NeverRespond(conn, r, body)
 			}, slog.New(slog.DiscardHandler), withTinyBuffer)
 			p.loop.upstream.SetMaxBufferedBody(tinyBuffer) // the response is streamed before it is complete
 			conn := dialWithTinyBuffer(t, p.Address)
--- a/internal/sidecar/trickling_response_test.go
+++ b/internal/sidecar/trickling_response_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// TestResponsesMayEndInGrace checks that a response that is complete soon after its client's time is not ended before.
+func TestResponsesMayEndInGrace(t *testing.T) {
+	p := startWithBackends(t, testserver.StartBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		_, _ = io.WriteString(c, chunkedHead+"4\r\nbag \r\n")
+		time.Sleep(trickleTimeout + 100*time.Millisecond)
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}))
+	got := p.Do(p.NewRequest(context.Background(), "pay", fmt.Sprint(trickleTimeout.Milliseconds())))
+	if got.Err != nil || got.Status != http.StatusOK || got.Body != "bag " {
+		t.Errorf("status %d, body %q, error %v", got.Status, got.Body, got.Err)
+	}
+}
+
 // TestTricklingAttemptsEndInTime guards against the same in each attempt at a request of each effect: the first one, a
 // retry, and a hedged request beside a response that has stalled.
 func TestTricklingAttemptsEndInTime(t *testing.T) {
